--- /dev/null
+++ b/request/id.go
@@ -0,0 +1,107 @@
+package request
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"hash/fnv"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors for malformed identifiers.
+var Error = errs.Class("request")
+
+// ServiceID names a service, for example "racedesk".
+type ServiceID string
+
+// ZoneID names an availability zone, for example "plovdiv-a".
+type ZoneID string
+
+// RegionID names a region, for example "bg-south".
+type RegionID string
+
+// CustomerID names a customer that operators have configured.
+type CustomerID string
+
+// InstanceID names an instance: one backend server together with its node.
+type InstanceID string
+
+// Operation names an operation of a service, for example "record-arrival".
+type Operation string
+
+// Incarnation identifies one run of a node process; a later run of the same instance has a higher value.
+type Incarnation uint64
+
+// NewIncarnation returns an incarnation that grows with the start time and differs between processes started in the same millisecond.
+func NewIncarnation(start time.Time, random *rand.Rand) Incarnation {
+	return Incarnation(uint64(start.UnixMilli())<<16 | random.Uint64()&0xffff)
+}
+
+// ID identifies a request; a caller that resends a request keeps its ID.
+type ID [16]byte
+
+// NewID returns a random ID.
+func NewID(random *rand.Rand) ID {
+	var id ID
+	binary.BigEndian.PutUint64(id[:8], random.Uint64())
+	binary.BigEndian.PutUint64(id[8:], random.Uint64())
+	return id
+}
+
+// ParseID parses 32 hexadecimal digits.
+func ParseID(s string) (ID, error) {
+	var id ID
+	if len(s) != hex.EncodedLen(len(id)) {
+		return ID{}, Error.New("request ID has %d characters; send 32 hexadecimal digits", len(s))
+	}
+	if _, err := hex.Decode(id[:], []byte(s)); err != nil {
+		return ID{}, Error.New("request ID is not hexadecimal; send 32 hexadecimal digits")
+	}
+	return id, nil
+}
+
+// String returns the ID as 32 hexadecimal digits.
+func (id ID) String() string { return hex.EncodeToString(id[:]) }
+
+// IsZero reports whether the ID is unset.
+func (id ID) IsZero() bool { return id == ID{} }
+
+// AttemptID identifies one attempt of one call; the source's incarnation makes it unique across the fleet.
+type AttemptID struct {
+	Source Incarnation
+	Number uint64
+}
+
+// String returns the attempt ID as "source.number" in hexadecimal.
+func (a AttemptID) String() string {
+	return strconv.FormatUint(uint64(a.Source), 16) + "." + strconv.FormatUint(a.Number, 16)
+}
+
+// Fingerprint identifies the content of a request, whatever request ID the caller gives it.
+type Fingerprint uint64
+
+// FingerprintOf hashes the customer, the service, the operation and the body.
+func FingerprintOf(customer CustomerID, service ServiceID, op Operation, body []byte) Fingerprint {
+	h := fnv.New64a()
+	for _, field := range []string{string(customer), string(service), string(op)} {
+		h.Write([]byte(field))
+		h.Write([]byte{0})
+	}
+	h.Write(body)
+	return Fingerprint(h.Sum64())
+}
+
+// Sequence numbers the effects that a caller sends under one ticket, from 1.
+type Sequence uint64
+
+// Instant is a point in monotonic time, in nanoseconds since the process started.
+type Instant int64
+
+// Add returns the instant d later.
+func (t Instant) Add(d time.Duration) Instant { return t + Instant(d) }
+
+// Sub returns the duration from u to t.
+func (t Instant) Sub(u Instant) time.Duration { return time.Duration(t - u) }
--- /dev/null
+++ b/request/request_test.go
@@ -0,0 +1,56 @@
+package request_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+// Guards against a priority that leaves its class, which would let bulk work displace essential work.
+func TestPriorityStaysInClass(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 1000 {
+		id := request.NewID(random)
+		for c := request.Essential; c <= request.Bulk; c++ {
+			p := request.PriorityOf(c, id)
+			qt.Assert(t, p.Class(), qt.Equals, c)
+			qt.Assert(t, p.Demote().Class(), qt.Equals, c)
+			qt.Assert(t, p.Demote() >= p, qt.IsTrue)
+		}
+	}
+}
+
+// Guards against a hash that favours some priorities, which would make the level a wrong measure of the admitted share.
+func TestPriorityIsUniform(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var counts [request.PrioritiesPerClass]int
+	const perPriority = 400
+	for range perPriority * int(request.PrioritiesPerClass) {
+		counts[request.PriorityOf(request.Essential, request.NewID(random))]++
+	}
+	for p, n := range counts {
+		qt.Check(t, n > perPriority*7/10 && n < perPriority*13/10, qt.IsTrue, qt.Commentf("priority %d has %d requests", p, n))
+	}
+}
+
+// Guards against a reason that reaches a caller without a remedy.
+func TestEachReasonHasRemedy(t *testing.T) {
+	for r := request.Overloaded; r <= request.LimitReached; r++ {
+		qt.Check(t, r.Remedy(), qt.Not(qt.Equals), "", qt.Commentf("reason %v", r))
+	}
+}
+
+// Guards against accepting an ID that later comparisons would treat as another one.
+func TestParseID(t *testing.T) {
+	id := request.NewID(rand.New(rand.NewPCG(3, 4)))
+	parsed, err := request.ParseID(id.String())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, parsed, qt.Equals, id)
+	for _, bad := range []string{"", "00", id.String() + "0", "zz" + id.String()[2:]} {
+		_, err := request.ParseID(bad)
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", bad))
+	}
+}
