budget: add accounts, retry ratio and recent requests

Cause: retries at each hop of a deep chain multiply on the way down, and a caller's resend starts them again. Change: an account lends extra attempts to child calls and takes back what is left; a ratio per service caps retries at a tenth of successes with a small floor; a bounded table gives resends the account of the first send.

--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,160 @@
+package budget_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/budget"
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+// Guards against a tree of accounts that holds more extra attempts than the request started with, also when responses are lost or delivered twice.
+func TestSumNeverGrows(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		const extra = 7
+		root := budget.NewAccount(extra)
+		accounts := []*budget.Account{&root}
+		type lent struct {
+			from *budget.Account
+			to   *budget.Account
+			loan budget.Loan
+		}
+		var loans []*lent
+		spent := uint32(0)
+		for range 100 {
+			a := accounts[random.IntN(len(accounts))]
+			switch random.IntN(3) {
+			case 0:
+				if a.Spend() {
+					spent++
+				}
+			case 1:
+				loan := a.Lend()
+				child := budget.NewAccount(loan.Amount())
+				accounts = append(accounts, &child)
+				loans = append(loans, &lent{from: a, to: &child, loan: loan})
+			case 2:
+				if len(loans) == 0 {
+					continue
+				}
+				l := loans[random.IntN(len(loans))]
+				left := l.to.Held()
+				*l.to = budget.Account{}
+				l.from.Return(&l.loan, left)
+				l.from.Return(&l.loan, left)
+			}
+			sum := spent
+			for _, a := range accounts {
+				sum += a.Held()
+			}
+			qt.Assert(t, sum <= extra, qt.IsTrue, qt.Commentf("sum %d", sum))
+		}
+	}
+}
+
+// Guards against a zero account that grants attempts, and against a loan that counts as held.
+func TestAccount(t *testing.T) {
+	var zero budget.Account
+	qt.Assert(t, zero.Spend(), qt.IsFalse)
+	loan := zero.Lend()
+	qt.Assert(t, loan.Amount(), qt.Equals, uint32(0))
+	zero.Return(&loan, 5)
+	qt.Assert(t, zero.Held(), qt.Equals, uint32(0))
+
+	a := budget.NewAccount(3)
+	loan = a.Lend()
+	qt.Assert(t, loan.Amount(), qt.Equals, uint32(2))
+	qt.Assert(t, a.Held(), qt.Equals, uint32(1))
+	a.Return(&loan, 9)
+	a.Return(&loan, 9)
+	qt.Assert(t, a.Held(), qt.Equals, uint32(3))
+}
+
+// Guards against retries above a tenth of successes, and against a quiet service that can never retry.
+func TestRatio(t *testing.T) {
+	var r budget.Ratio
+	now := request.Instant(0)
+	allowed := func() (n int) {
+		for r.Allow(now, "registry") {
+			n++
+		}
+		return n
+	}
+	qt.Assert(t, allowed(), qt.Equals, 3)
+	for range 99 {
+		r.Succeeded(now, "registry")
+	}
+	qt.Assert(t, allowed(), qt.Equals, 9)
+	now = now.Add(999 * time.Millisecond)
+	qt.Assert(t, allowed(), qt.Equals, 0)
+	now = now.Add(time.Millisecond)
+	qt.Assert(t, allowed(), qt.Equals, 1)
+	now = now.Add(time.Hour)
+	qt.Assert(t, allowed(), qt.Equals, 3)
+	for range 1 << 16 {
+		r.Succeeded(now, "registry")
+	}
+	qt.Assert(t, allowed(), qt.Equals, 110)
+	qt.Assert(t, r.Allow(now, "transfers"), qt.IsTrue)
+}
+
+// Guards against a resend that gets a fresh account, and against a table that grows without bound.
+func TestRequests(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	r := budget.NewRequests(budget.Settings{Capacity: 4, Life: time.Minute})
+	now := request.Instant(0)
+	id := request.NewID(random)
+
+	a := r.Open(now, "club", id, 1, 3)
+	qt.Assert(t, a.Held(), qt.Equals, uint32(3))
+	qt.Assert(t, r.Open(now, "club", id, 0, 3), qt.Equals, a)
+	qt.Assert(t, a.Held(), qt.Equals, uint32(2))
+	qt.Assert(t, r.Open(now, "other", id, 4, 3).Held(), qt.Equals, uint32(0))
+	qt.Assert(t, r.Open(now, "third", id, 3, 3).Held(), qt.Equals, uint32(1))
+
+	now = now.Add(59 * time.Second)
+	qt.Assert(t, r.Open(now, "club", id, 0, 3), qt.Equals, a)
+	for range 100 {
+		r.Open(now, "other", id, 0, 3)
+	}
+	qt.Assert(t, r.Open(now, "club", id, 0, 3), qt.Equals, a)
+	qt.Assert(t, a.Held(), qt.Equals, uint32(0))
+	now = now.Add(time.Second)
+	qt.Assert(t, r.Open(now, "club", id, 0, 3), qt.Not(qt.Equals), a)
+
+	for range 100 {
+		r.Open(now, "club", request.NewID(random), 1, 3)
+		qt.Assert(t, r.Len() <= 4, qt.IsTrue)
+	}
+}
+
+func BenchmarkLendReturn(b *testing.B) {
+	b.ReportAllocs()
+	a := budget.NewAccount(3)
+	for b.Loop() {
+		loan := a.Lend()
+		a.Return(&loan, loan.Amount())
+	}
+}
+
+func BenchmarkRatio(b *testing.B) {
+	b.ReportAllocs()
+	var r budget.Ratio
+	for b.Loop() {
+		r.Succeeded(0, "registry")
+		r.Allow(0, "registry")
+	}
+}
+
+func BenchmarkOpen(b *testing.B) {
+	b.ReportAllocs()
+	r := budget.NewRequests(budget.DefaultSettings)
+	random := rand.New(rand.NewPCG(1, 3))
+	for b.Loop() {
+		r.Open(0, "club", request.NewID(random), 1, 3)
+	}
+}
