route: add the source's table of instances

Cause: a source needs to choose an instance within a bound of connections and without a list of backend servers. Change: rendezvous subsets by zone, power of two choices, refusal memory by class, backoff for broken instances, path levels with probes.

--- /dev/null
+++ b/route/command.go
@@ -0,0 +1,178 @@
+package route
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+// Table is a source's view of the instances of each service.
+type Table struct {
+	settings  Settings
+	random    *rand.Rand
+	instances map[request.InstanceID]*instance
+	services  map[request.ServiceID]*service
+	paths     map[path]*pathLevel
+	// Space for Pick, so that it does not allocate.
+	accepted []*instance
+}
+
+// service holds the chosen subset of one service, by distance.
+type service struct {
+	tiers [tierCount][]*instance
+}
+
+// instance is what the source knows of one instance.
+type instance struct {
+	member   Member
+	inFlight uint32
+
+	load     Load
+	reported request.Instant
+
+	// By class, so that a refused bulk attempt does not prolong the memory of a refused essential one.
+	refusals [request.ClassCount]refusal
+
+	failures    uint32
+	brokenUntil request.Instant
+	// One attempt at a time tests an instance that was broken.
+	testing bool
+}
+
+// refusal keeps attempts of a priority and less important ones from an instance until a time.
+type refusal struct {
+	priority request.Priority
+	until    request.Instant
+}
+
+type path struct {
+	service   request.ServiceID
+	operation request.Operation
+}
+
+// New returns a table without instances; random decides between instances and which requests probe.
+func New(s Settings, random *rand.Rand) *Table {
+	return &Table{
+		settings:  s,
+		random:    random,
+		instances: make(map[request.InstanceID]*instance),
+		services:  make(map[request.ServiceID]*service),
+		paths:     make(map[path]*pathLevel),
+	}
+}
+
+// Update replaces the members; what is known of an instance is kept while its incarnation lasts.
+func (t *Table) Update(members []Member) {
+	present := make(map[request.ServiceID][]candidate)
+	populations := make(map[request.ServiceID]population)
+	localSources := 0
+	for _, m := range members {
+		if m.Zone == t.settings.Zone {
+			localSources++
+		}
+		if m.State != Alive && m.State != Suspect {
+			continue
+		}
+		local := m.Zone == t.settings.Zone
+		present[m.Service] = append(present[m.Service], candidate{member: m, rank: rendezvous(t.settings.Instance, m.Instance), local: local})
+		p := populations[m.Service]
+		if local {
+			p.localInstances++
+		} else {
+			p.otherInstances++
+		}
+		populations[m.Service] = p
+	}
+	old := t.instances
+	t.instances = make(map[request.InstanceID]*instance)
+	t.services = make(map[request.ServiceID]*service, len(present))
+	for id, candidates := range present {
+		p := populations[id]
+		p.localSources, p.otherSources = localSources, len(members)-localSources
+		t.services[id] = t.newService(t.settings.subset(candidates, p), old)
+	}
+}
+
+func (t *Table) newService(subset []candidate, old map[request.InstanceID]*instance) *service {
+	s := new(service)
+	for _, c := range subset {
+		in := old[c.member.Instance]
+		if in == nil || in.member.Incarnation != c.member.Incarnation {
+			in = new(instance)
+		}
+		in.member = c.member
+		t.instances[c.member.Instance] = in
+		n := t.settings.tierOf(c.member)
+		s.tiers[n] = append(s.tiers[n], in)
+	}
+	return s
+}
+
+// Begin counts an attempt sent to an instance.
+func (t *Table) Begin(now request.Instant, id request.InstanceID) {
+	in := t.instances[id]
+	if in == nil {
+		return
+	}
+	in.inFlight++
+	if in.failures > 0 {
+		in.testing = true
+		in.brokenUntil = now.Add(t.backoff(in.failures))
+	}
+}
+
+// Done counts the end of an attempt that was sent to an instance.
+func (t *Table) Done(id request.InstanceID) {
+	if in := t.instances[id]; in != nil && in.inFlight > 0 {
+		in.inFlight--
+	}
+}
+
+// Observe records the load that an instance reported with a response or a refusal.
+func (t *Table) Observe(now request.Instant, id request.InstanceID, l Load) {
+	in := t.instances[id]
+	if in == nil {
+		return
+	}
+	in.load, in.reported = l, now
+	in.failures, in.brokenUntil, in.testing = 0, 0, false
+}
+
+// Refused records that an instance refused a priority; until then, it gets no attempt of this priority or a less important one.
+func (t *Table) Refused(now request.Instant, id request.InstanceID, p request.Priority, until request.Instant) {
+	in := t.instances[id]
+	if in == nil {
+		return
+	}
+	r := &in.refusals[p.Class()]
+	if r.until > now {
+		p = min(p, r.priority)
+	}
+	*r = refusal{priority: p, until: max(r.until, min(until, now.Add(t.settings.RefusalLife)))}
+}
+
+// Broken records that an attempt to an instance got no answer; the instance is avoided for a time that doubles with each failure in a row.
+func (t *Table) Broken(now request.Instant, id request.InstanceID) {
+	in := t.instances[id]
+	if in == nil {
+		return
+	}
+	// Attempts that were in flight together break together and count as one failure.
+	if in.testing || in.brokenUntil <= now {
+		in.failures++
+	}
+	in.testing = false
+	in.brokenUntil = now.Add(t.backoff(in.failures))
+}
+
+func (t *Table) backoff(failures uint32) time.Duration {
+	d := t.settings.BrokenMin
+	for range failures - 1 {
+		if d >= t.settings.BrokenMax {
+			break
+		}
+		d *= 2
+	}
+	return min(d, t.settings.BrokenMax)
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,239 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/route"
+)
+
+const second = request.Instant(time.Second)
+
+// fleet returns services with the given number of instances each, spread over zones in turn; every fourth zone begins a region.
+func fleet(services, instances, zones int) []route.Member {
+	var out []route.Member
+	for s := range services {
+		for i := range instances {
+			z := (s + i) % zones
+			out = append(out, route.Member{
+				Instance: request.InstanceID(fmt.Sprintf("service%d-%d", s, i)),
+				Service:  request.ServiceID(fmt.Sprintf("service%d", s)),
+				Zone:     request.ZoneID(fmt.Sprintf("zone%d", z)),
+				Region:   request.RegionID(fmt.Sprintf("region%d", z/4)),
+				Slots:    100,
+			})
+		}
+	}
+	return out
+}
+
+func newTable(members []route.Member) *route.Table {
+	t := route.New(route.DefaultSettings("service0-0", "zone0", "region0"), rand.New(rand.NewPCG(1, 1)))
+	t.Update(members)
+	return t
+}
+
+func pick(t *testing.T, table *route.Table, now request.Instant, p request.Priority, excluded ...request.InstanceID) request.InstanceID {
+	t.Helper()
+	c, v := table.Pick(now, "service0", p, excluded)
+	qt.Assert(t, v, qt.Equals, route.Picked)
+	return c.Instance
+}
+
+// Guards against subsets that together open more connections to a backend server's node than it accepts, at the size of two years from now.
+func TestSubsetBoundsConnections(t *testing.T) {
+	members := fleet(74, 38, 16)
+	counts := make(map[request.InstanceID]int)
+	for _, m := range members {
+		s := route.DefaultSettings(m.Instance, m.Zone, m.Region)
+		table := route.New(s, rand.New(rand.NewPCG(1, 1)))
+		table.Update(members)
+		subset := table.Subset("service7")
+		qt.Assert(t, len(subset) >= 2, qt.IsTrue)
+		qt.Assert(t, subset[0].Zone, qt.Equals, m.Zone)
+		for _, c := range subset {
+			counts[c.Instance]++
+		}
+	}
+	most := 0
+	for _, n := range counts {
+		most = max(most, n)
+	}
+	t.Logf("%d sources, 38 instances: at most %d connections", len(members), most)
+	qt.Assert(t, most <= 250, qt.IsTrue, qt.Commentf("%d connections", most))
+	qt.Assert(t, len(counts), qt.Equals, 38)
+}
+
+// Guards against leaving the zone while it has room, and against staying there when its instances are full, refused, broken or gone.
+func TestNearestTierWithRoom(t *testing.T) {
+	members := fleet(1, 3, 3)
+	table := newTable(members)
+	for range 100 {
+		qt.Assert(t, pick(t, table, second, 0), qt.Equals, request.InstanceID("service0-0"))
+	}
+	qt.Assert(t, pick(t, table, second, 0, "service0-0"), qt.Not(qt.Equals), request.InstanceID("service0-0"))
+
+	table.Observe(second, "service0-0", route.Load{InFlight: 10, Queued: 1, Limit: 10})
+	qt.Assert(t, pick(t, table, second, 0), qt.Not(qt.Equals), request.InstanceID("service0-0"))
+	// The report is too old to be believed.
+	qt.Assert(t, pick(t, table, 3*second, 0), qt.Equals, request.InstanceID("service0-0"))
+
+	table.Broken(3*second, "service0-0")
+	qt.Assert(t, pick(t, table, 3*second, 0), qt.Not(qt.Equals), request.InstanceID("service0-0"))
+
+	members[0].State = route.Leaving
+	table.Update(members)
+	qt.Assert(t, pick(t, table, 9*second, 0), qt.Not(qt.Equals), request.InstanceID("service0-0"))
+}
+
+// Guards against a refused bulk request that keeps essential ones away, and against a refusal that is remembered too long.
+func TestRefusalMemory(t *testing.T) {
+	table := newTable(fleet(1, 1, 1))
+	const essential, bulk = 10, 600
+	table.Refused(second, "service0-0", bulk, second.Add(200*time.Millisecond))
+	pick(t, table, second, essential)
+	c, v := table.Pick(second, "service0", bulk, nil)
+	qt.Assert(t, v, qt.Equals, route.AllRefused)
+	qt.Assert(t, c.RetryAfter, qt.Equals, 200*time.Millisecond)
+	pick(t, table, second, bulk-1)
+
+	table.Refused(second, "service0-0", essential, 100*second)
+	_, v = table.Pick(second.Add(249*time.Millisecond), "service0", essential, nil)
+	qt.Assert(t, v, qt.Equals, route.AllRefused)
+	pick(t, table, second.Add(250*time.Millisecond), bulk)
+}
+
+// Guards against a broken instance that is tried by every request, or never again.
+func TestBrokenBackoff(t *testing.T) {
+	table := newTable(fleet(1, 1, 1))
+	now := second
+	for range 5 {
+		table.Begin(now, "service0-0")
+	}
+	waits := []time.Duration{50, 100, 200, 400, 800, 1000, 1000}
+	for _, wait := range waits {
+		table.Broken(now, "service0-0")
+		table.Broken(now, "service0-0")
+		c, v := table.Pick(now, "service0", 0, nil)
+		qt.Assert(t, v, qt.Equals, route.NoInstance)
+		qt.Assert(t, c.RetryAfter, qt.Equals, wait*time.Millisecond)
+		now = now.Add(wait * time.Millisecond)
+		pick(t, table, now, 0)
+		table.Begin(now, "service0-0")
+		_, v = table.Pick(now, "service0", 0, nil)
+		qt.Assert(t, v, qt.Equals, route.NoInstance, qt.Commentf("a second request tests the instance"))
+	}
+	table.Observe(now, "service0-0", route.Load{})
+	pick(t, table, now, 0)
+}
+
+// Guards against load that is not spread by in-flight count, and against losing the counts when members change.
+func TestPowerOfTwoChoices(t *testing.T) {
+	members := fleet(1, 10, 1)
+	table := newTable(members)
+	counts := make(map[request.InstanceID]int)
+	for range 500 {
+		id := pick(t, table, second, 0)
+		table.Begin(second, id)
+		counts[id]++
+		table.Update(members)
+	}
+	for _, m := range members {
+		n := counts[m.Instance]
+		qt.Check(t, n >= 45 && n <= 55, qt.IsTrue, qt.Commentf("%s has %d of 50", m.Instance, n))
+	}
+	table.Observe(second, members[0].Instance, route.Load{Queued: 90, Limit: 200})
+	for range 20 {
+		qt.Assert(t, pick(t, table, second, 0), qt.Not(qt.Equals), members[0].Instance)
+	}
+	// A new incarnation has neither the attempts nor the reports of the old one.
+	members[0].Incarnation++
+	table.Update(members)
+	picked := 0
+	for range 100 {
+		if pick(t, table, second, 0) == members[0].Instance {
+			picked++
+		}
+	}
+	qt.Assert(t, picked > 0, qt.IsTrue)
+}
+
+// Guards against early shedding that sheds essential work for a lower level, starves the probes or holds on to an old level.
+func TestEarlyShedding(t *testing.T) {
+	table := newTable(fleet(1, 3, 1))
+	shed := func(now request.Instant, p request.Priority) (n int) {
+		for range 1000 {
+			if table.Shed(now, "service0", "record-arrival", p) {
+				n++
+			}
+		}
+		return n
+	}
+	qt.Assert(t, shed(second, 767), qt.Equals, 0)
+	for range 100 {
+		table.ObserveLevel(second, "service0", "record-arrival", 300)
+	}
+	qt.Assert(t, shed(second, 299), qt.Equals, 0)
+	n := shed(second, 310)
+	qt.Assert(t, n >= 970 && n < 1000, qt.IsTrue, qt.Commentf("%d of 1000 shed, 10 probes expected", n))
+	qt.Assert(t, table.Level(second, "service0", "fetch-archive"), qt.Equals, request.MaxPriority)
+	qt.Assert(t, shed(3*second, 767), qt.Equals, 0)
+	// One overloaded instance of three does not make the first node shed what the other two would run.
+	for range 100 {
+		for _, level := range []request.Priority{0, 768, 768} {
+			table.ObserveLevel(4*second, "service0", "record-arrival", level)
+		}
+	}
+	qt.Assert(t, shed(4*second, 255), qt.Equals, 0)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, instances := range []int{3, 38} {
+		b.Run(fmt.Sprintf("instances=%d", instances), func(b *testing.B) {
+			table := newTable(fleet(1, instances, 1))
+			excluded := []request.InstanceID{"service0-1"}
+			b.ReportAllocs()
+			for b.Loop() {
+				c, _ := table.Pick(second, "service0", 300, excluded)
+				table.Begin(second, c.Instance)
+				table.Done(c.Instance)
+			}
+		})
+	}
+}
+
+// Every instance but the last one refuses, so that each one is looked at.
+func BenchmarkPickRefused(b *testing.B) {
+	members := fleet(1, 38, 1)
+	table := newTable(members)
+	for _, m := range members[:37] {
+		table.Refused(second, m.Instance, 200, 2*second)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Pick(second, "service0", 300, nil)
+	}
+}
+
+func BenchmarkShed(b *testing.B) {
+	table := newTable(fleet(1, 3, 1))
+	b.ReportAllocs()
+	for b.Loop() {
+		table.ObserveLevel(second, "service0", "record-arrival", 300)
+		table.Shed(second, "service0", "record-arrival", 400)
+	}
+}
+
+func BenchmarkUpdate(b *testing.B) {
+	members := fleet(74, 38, 16)
+	table := newTable(members)
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Update(members)
+	}
+}
