settings: read node settings and deployments strictly

Cause: a node takes its identity, addresses and bounds from a file, and a fault in that file has to be found before anything starts.

Change: package settings reads JSON with comments into typed settings and reports every problem at once with file, line, column, field, finding and remedy. A deployment file lists services, availability zones and instances of a region, and the settings of an instance are taken from it by name.

Conclusion: node can start from settings.ReadFile or from settings.ReadDeploymentFile and Deployment.Settings.

--- /dev/null
+++ b/settings/problem.go
@@ -0,0 +1,37 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one fault in a file, with its place and what to do about it.
+type Problem struct {
+	File   string `json:"file"`
+	Line   int    `json:"line"`   // from 1
+	Column int    `json:"column"` // from 1, in bytes
+	Field  string `json:"field"`  // path of the field, such as "listeners.peer"
+	Found  string `json:"found"`
+	Remedy string `json:"remedy"`
+}
+
+// String returns the problem on one line in the form "file:line:column: field: found; remedy".
+func (p Problem) String() string {
+	field := p.Field
+	if field == "" {
+		field = "file"
+	}
+	return fmt.Sprintf("%s:%d:%d: %s: %s; %s", p.File, p.Line, p.Column, field, p.Found, p.Remedy)
+}
+
+// Problems is the error of a file that cannot be used; it holds every problem found in it.
+type Problems []Problem
+
+// Error returns one problem a line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,103 @@
+package settings_test
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/settings"
+)
+
+// Guards against a faulty file that is accepted, and against a message without place or remedy.
+func TestRead(t *testing.T) {
+	datadriven.Walk(t, "testdata/read", func(t *testing.T, path string) {
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "settings":
+				return render(settings.Read("node.json", []byte(d.Input)))
+			case "deployment":
+				var name string
+				d.ScanArgs(t, "instance", &name)
+				deployment, err := settings.ReadDeployment("deployment.json", []byte(d.Input))
+				if err != nil {
+					return err.Error()
+				}
+				return render(deployment.Settings(request.InstanceID(name)))
+			}
+			d.Fatalf(t, "unknown command %q", d.Cmd)
+			return ""
+		})
+	})
+}
+
+func render(s settings.Settings, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	return strings.Join([]string{
+		fmt.Sprintf("instance: %+v", s.Instance),
+		fmt.Sprintf("listeners: %+v", s.Listeners),
+		fmt.Sprintf("backend: %+v", s.Backend),
+		fmt.Sprintf("platform: %+v", s.Platform),
+		fmt.Sprintf("seeds: %v", s.Seeds),
+		fmt.Sprintf("limits: %+v", s.Limits),
+		fmt.Sprintf("log: %+v", s.Log),
+		fmt.Sprintf("trace: %+v", s.Trace),
+		fmt.Sprintf("timeouts: %+v", s.Timeouts),
+		fmt.Sprintf("stop: %v", s.Stop),
+	}, "\n")
+}
+
+// Guards against committed deployments that do not read or whose sizes differ from docs/design.md, section 1.
+func TestDeployments(t *testing.T) {
+	type size [3]int // instances, slots, connections
+	for _, test := range []struct {
+		name  string
+		sizes map[string]size
+	}{
+		{"golubarnik", map[string]size{"registry": {3, 110, 750}, "transfers": {3, 110, 750}, "archives": {3, 110, 750}, "racedesk": {3, 30, 290}}},
+		{"agenzia", map[string]size{"vetrina": {3, 230, 1450}, "ordini": {3, 230, 1450}, "archivio": {3, 230, 1450}, "autorizza": {3, 25, 250}}},
+		{"golubarnik-small", map[string]size{"registry": {3, 8, 200}, "transfers": {3, 8, 200}, "archives": {3, 8, 200}, "racedesk": {3, 4, 100}}},
+	} {
+		d, err := settings.ReadDeploymentFile(filepath.Join("..", "deployments", test.name, "deployment.json"))
+		qt.Assert(t, err, qt.IsNil)
+		got := map[string]size{}
+		for _, m := range d.Instances {
+			s, err := d.Settings(m.Name)
+			qt.Assert(t, err, qt.IsNil)
+			service := string(s.Instance.Service)
+			got[service] = size{got[service][0] + 1, s.Backend.Slots, s.Backend.Connections}
+		}
+		qt.Check(t, got, qt.DeepEquals, test.sizes)
+		qt.Check(t, len(d.Zones), qt.Equals, 3)
+	}
+}
+
+// Guards against a panic on malformed input, and against settings that are returned together with problems.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"instance": {"name": "a"}, "seeds": ["1.2.3.4:5"], "stop_ms": 1e3} // comment`))
+	f.Add([]byte(`{"services": [{"name": "a", "slots": 1, "connections": 1}], "instances": [{"address": "::1"}], "zones": ["a"]}`))
+	f.Add([]byte("{\"a\": \xff}"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, err := settings.Read("f", data)
+		check(t, err, data)
+		_, err = settings.ReadDeployment("f", data)
+		check(t, err, data)
+	})
+}
+
+func check(t *testing.T, err error, data []byte) {
+	problems, _ := err.(settings.Problems)
+	for _, p := range problems {
+		lines := strings.Split(string(data), "\n")
+		inside := p.Line >= 1 && p.Line <= len(lines) && p.Column >= 1 && p.Column <= len(lines[p.Line-1])+1
+		if !inside || p.Found == "" || p.Remedy == "" {
+			t.Fatalf("problem without a place in the file, finding or remedy: %+v", p)
+		}
+	}
+}
