quarantine: count crashes by the identity of the crash

A crash is the pair of instance and incarnation of the backend server, so reports of two sources count once.

--- /dev/null
+++ b/quarantine/doc.go
@@ -0,0 +1,25 @@
+// Package quarantine counts the crashes of backend servers against the
+// fingerprints of the requests that were running when the server crashed.
+//
+// A source that loses a backend server in mid-request reports one crash for
+// each fingerprint in flight there. One crash makes a fingerprint a suspect,
+// two crashes put it in quarantine:
+//
+//	table := quarantine.New(quarantine.DefaultSettings())
+//	crash := quarantine.Crash{Instance: "racedesk-1", Incarnation: 7}
+//	record, changed := table.Report(now, fingerprint, "racedesk", crash)
+//	if changed {
+//		// tell the instances of the service, then gossip the record
+//	}
+//	if table.State(now, fingerprint) == quarantine.Quarantined {
+//		// refuse the request
+//	}
+//
+// A crash is identified by the instance and the incarnation of the backend
+// server that crashed, so two sources that report the same crash count once.
+// The node starts the incarnation of its backend server at its own and raises
+// it by one each time the backend server restarts. It sends the current value
+// in the load of each response.
+//
+// Table is not safe for concurrent use.
+package quarantine
