call: report the incarnation of the backend server that crashed

Cause: package quarantine identifies a crash by instance and incarnation, so that two sources count the same crash once. Change: Crashed and ReportCrash carry the incarnation of the backend server. Measured: scripted tests show the incarnation in each report. Conclusion: a report can be handed to quarantine.Report as it is.

--- a/call/call.go
+++ b/call/call.go
@@ -308,7 +308,7 @@
 		a := &c.attempts[i]
 		if a.id == e.Attempt && !a.crashed {
 			a.crashed = true
-			return append(out, ReportCrash{Instance: a.instance, Fingerprint: c.plan.Fingerprint})
+			return append(out, ReportCrash{Instance: a.instance, Incarnation: e.Incarnation, Fingerprint: c.plan.Fingerprint})
 		}
 	}
 	return out
--- a/call/call_test.go
+++ b/call/call_test.go
@@ -119,7 +119,7 @@
 	case "broken":
 		return now, call.Broken{Attempt: id}
 	case "crashed":
-		return now, call.Crashed{Attempt: id, Returned: uint32(number(3))}
+		return now, call.Crashed{Attempt: id, Incarnation: 5, Returned: uint32(number(3))}
 	case "withdrawn":
 		return now, call.WithdrawReply{Attempt: id, Result: call.Withdrawn}
 	case "started":
@@ -158,7 +158,7 @@
 	case call.SetTimer:
 		return fmt.Sprintf("timer %v", time.Duration(a.At))
 	case call.ReportCrash:
-		return fmt.Sprintf("report crash of %d on %s", a.Fingerprint, a.Instance)
+		return fmt.Sprintf("report crash of %d on %s incarnation %d", a.Fingerprint, a.Instance, a.Incarnation)
 	case call.End:
 		s := fmt.Sprintf("end %v %v", a.Outcome, a.Reason)
 		if a.RetryAfter > 0 {
--- a/call/event.go
+++ b/call/event.go
@@ -40,10 +40,11 @@
 	Attempt request.AttemptID
 }
 
-// Crashed tells that the backend server went away while it ran the attempt.
+// Crashed tells that the backend server went away while it ran the attempt. Incarnation is that of the backend server; it identifies the crash.
 type Crashed struct {
-	Attempt  request.AttemptID
-	Returned uint32
+	Attempt     request.AttemptID
+	Incarnation request.Incarnation
+	Returned    uint32
 }
 
 // WithdrawReply is the answer to a Withdraw.
@@ -125,6 +126,7 @@
 // ReportCrash tells the instances of the service that a backend server crashed while it ran the fingerprint.
 type ReportCrash struct {
 	Instance    request.InstanceID
+	Incarnation request.Incarnation
 	Fingerprint request.Fingerprint
 }
 
