admission: add the destination's controller

Cause: the design needs one place that decides for a backend server which attempts run, wait or are refused, with refusals that are proof.

--- /dev/null
+++ b/admission/limit.go
@@ -0,0 +1,162 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+const (
+	// slowFactor is the growth of own time over its baseline that starts a trial of a lower limit.
+	slowFactor = 1.5
+	// normalFactor is the growth below which a lowered limit rises again.
+	normalFactor = 1.2
+	// trialStep is the share of the limit that a trial takes away.
+	trialStep = 0.1
+	// keptShare of the completions must remain for a trial to succeed. A
+	// backend server limited by its slots loses trialStep of its
+	// completions, one that suffers from contention loses none.
+	keptShare = 0.95
+	// baselineDrift lets the baseline follow a lasting change, by 1% a second.
+	baselineDrift = 1.0025
+	// firstHold and maxHold are the intervals between failed trials; the hold doubles after each.
+	firstHold, maxHold = 8, 128
+	// limitFloor is the smallest share of the slots.
+	limitFloor = 8
+	// rampStart is the share of the slots at the start of a ramp.
+	rampStart = 0.1
+	// settledSamples is the number of completions that weighs as much as the former estimate.
+	settledSamples = 16
+)
+
+// limiter adapts the number of attempts that run at once. It lowers the limit
+// only if fewer attempts at once complete as much: a backend server that is
+// slow for another reason than contention must keep all its slots busy.
+type limiter struct {
+	slots int
+	limit int
+
+	rampFrom request.Instant
+	ramp     time.Duration
+
+	// total is the estimated time that an attempt holds its slot.
+	total time.Duration
+	// baseline is the own time without contention.
+	baseline time.Duration
+
+	sumTotal, sumOwn time.Duration
+	count            int
+	// peak is the largest number of attempts at once in the interval.
+	peak int
+
+	trial     trial
+	hold      int
+	nextHold  int
+	trialFrom int
+	rate      float64
+}
+
+type trial uint8
+
+const (
+	trialNone trial = iota
+	trialSettling
+	trialMeasuring
+)
+
+func newLimiter(s Settings, now request.Instant) limiter {
+	return limiter{
+		slots: s.Slots, limit: s.Slots,
+		rampFrom: now, ramp: s.Ramp,
+		total: s.ServiceTime, nextHold: firstHold,
+	}
+}
+
+// restart begins a new ramp.
+func (l *limiter) restart(now request.Instant) {
+	l.limit = l.slots
+	l.rampFrom = now
+	l.trial, l.hold = trialNone, 0
+}
+
+// at returns the limit in force, at least 1.
+func (l *limiter) at(now request.Instant) int {
+	passed := now.Sub(l.rampFrom)
+	if passed >= l.ramp {
+		return l.limit
+	}
+	share := rampStart + (1-rampStart)*float64(passed)/float64(l.ramp)
+	return max(1, int(share*float64(l.limit)))
+}
+
+// observe takes one finished attempt into account. Failed attempts count,
+// since they held a slot; only completed ones tell the own time.
+func (l *limiter) observe(total, own time.Duration) {
+	l.sumTotal += total
+	l.sumOwn += own
+	l.count++
+}
+
+// perSecond returns the measured service rate with all slots busy.
+func (l *limiter) perSecond(now request.Instant) float64 {
+	return float64(l.at(now)) / max(l.total, time.Microsecond).Seconds()
+}
+
+// endInterval updates the estimates and the limit after an interval of the given length.
+func (l *limiter) endInterval(elapsed time.Duration, starved bool) {
+	if l.count == 0 {
+		// Without completions a too high estimate would refuse every deadline for ever.
+		if starved {
+			l.total = max(l.total/2, time.Microsecond)
+		}
+		l.peak = 0
+		return
+	}
+	weight := float64(l.count) / float64(l.count+settledSamples)
+	mean := float64(l.sumTotal) / float64(l.count)
+	l.total += time.Duration(weight * (mean - float64(l.total)))
+	l.adapt(l.sumOwn/time.Duration(l.count), float64(l.count)/elapsed.Seconds())
+	l.sumTotal, l.sumOwn, l.count, l.peak = 0, 0, 0, 0
+}
+
+func (l *limiter) adapt(own time.Duration, rate float64) {
+	if l.count < settledSamples {
+		return
+	}
+	if l.baseline == 0 || own < l.baseline {
+		l.baseline = own
+	}
+	l.baseline = time.Duration(float64(l.baseline) * baselineDrift)
+	l.hold = max(0, l.hold-1)
+	saturated := l.peak >= l.limit
+	switch {
+	case l.trial == trialSettling:
+		l.trial = trialMeasuring
+	case l.trial == trialMeasuring:
+		l.endTrial(rate, saturated)
+	case float64(own) <= normalFactor*float64(l.baseline):
+		l.limit = min(l.slots, l.limit+max(1, l.limit/10))
+		l.nextHold = firstHold
+	case float64(own) > slowFactor*float64(l.baseline) && saturated && l.hold == 0:
+		l.beginTrial(rate)
+	}
+}
+
+func (l *limiter) beginTrial(rate float64) {
+	lower := max(l.slots/limitFloor, int(float64(l.limit)*(1-trialStep)), 1)
+	if lower >= l.limit {
+		return
+	}
+	l.trial, l.trialFrom, l.rate = trialSettling, l.limit, rate
+	l.limit = lower
+}
+
+func (l *limiter) endTrial(rate float64, saturated bool) {
+	l.trial = trialNone
+	if saturated && rate >= keptShare*l.rate {
+		return
+	}
+	l.limit = l.trialFrom
+	l.hold = l.nextHold
+	l.nextHold = min(2*l.nextHold, maxHold)
+}
