standin: add a stand-in backend server

Cause: nodes and the demo need backend servers whose faults can be caused on purpose, with a record of what they executed.

Trace exporters in settings get the names that package trace uses.

--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -103,7 +103,7 @@
 	}
 	d.checkUse(o)
 	readCommon(o, &d.common)
-	if t := d.common.Trace; t.Exporter == ExporterFile && len(d.Instances) > 1 && !strings.Contains(t.File, instancePlaceholder) {
+	if t := d.common.Trace; t.Exporter == ExporterStdout && t.File != "" && len(d.Instances) > 1 && !strings.Contains(t.File, instancePlaceholder) {
 		o.add("trace", fmt.Sprintf("the file %q is the same for all instances", t.File), "write "+instancePlaceholder+" in trace.file, for example \"run/"+instancePlaceholder+".spans\"")
 	}
 }
--- a/settings/read.go
+++ b/settings/read.go
@@ -225,20 +225,19 @@
 	if u := o.httpURL("url"); u != nil {
 		t.URL = u.String()
 	}
-	needed := map[Exporter]string{ExporterNone: "", ExporterFile: "file", ExporterOTLP: "url"}
-	field, known := needed[t.Exporter]
+	permitted, known := map[Exporter]string{ExporterNone: "", ExporterStdout: "file", ExporterOTLP: "url"}[t.Exporter]
 	if !known {
-		o.add("exporter", fmt.Sprintf("found %q", t.Exporter), "write none, file or otlp")
+		o.add("exporter", fmt.Sprintf("found %q", t.Exporter), "write none, stdout or otlp")
 		return t
 	}
 	for _, name := range []string{"file", "url"} {
-		switch {
-		case name == field && !o.has(name):
-			o.add(name, fmt.Sprintf("the field is missing, and the exporter is %s", t.Exporter), "write where the spans go")
-		case name != field && o.has(name):
+		if name != permitted && o.has(name) {
 			o.add(name, fmt.Sprintf("the field is present, but the exporter is %s", t.Exporter), "remove it or change trace.exporter")
 		}
 	}
+	if t.Exporter == ExporterOTLP && !o.has("url") {
+		o.add("url", "the field is missing, and the exporter is otlp", "write the URL of the collector")
+	}
 	return t
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -75,15 +75,15 @@
 
 // The exporters.
 const (
-	ExporterNone Exporter = "none"
-	ExporterFile Exporter = "file" // one JSON object per span
-	ExporterOTLP Exporter = "otlp" // OTLP over HTTP
+	ExporterNone   Exporter = "none"
+	ExporterStdout Exporter = "stdout" // JSON objects, to the standard output or a file
+	ExporterOTLP   Exporter = "otlp"   // OTLP over HTTP
 )
 
 // Trace sets where spans go and how many requests are traced.
 type Trace struct {
 	Exporter    Exporter
-	File        string // path, for ExporterFile
+	File        string // path, for ExporterStdout; empty for the standard output
 	URL         string // for ExporterOTLP
 	SampleRatio float64
 }
--- /dev/null
+++ b/standin/record.go
@@ -0,0 +1,84 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"os"
+	"sync"
+)
+
+// Execution is one execution of an operation, recorded when it begins.
+type Execution struct {
+	Instance  string `json:"instance"`
+	Operation string `json:"operation"`
+	Effect    string `json:"effect,omitempty"` // header Sapphiretack-Effect
+	Key       string `json:"key,omitempty"`    // the key in the body, which the caller chose
+}
+
+// record keeps the executions, and writes each to a log before the work begins, so that a crash loses none.
+type record struct {
+	mu         sync.Mutex
+	executions []Execution
+	log        io.Writer
+}
+
+// add records an execution; an execution that cannot be logged must not begin.
+func (r *record) add(e Execution) error {
+	line, err := json.Marshal(e)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.log != nil {
+		if _, err := r.log.Write(append(line, '\n')); err != nil {
+			return err
+		}
+	}
+	r.executions = append(r.executions, e)
+	return nil
+}
+
+func (r *record) list() []Execution {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Execution{}, r.executions...)
+}
+
+// ReadExecutions reads the executions in a log file.
+func ReadExecutions(path string) ([]Execution, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	var executions []Execution
+	lines := bufio.NewScanner(f)
+	for lines.Scan() {
+		var e Execution
+		if err := json.Unmarshal(lines.Bytes(), &e); err != nil {
+			return nil, BackendError.New("%s: line %d: %v", path, len(executions)+1, err)
+		}
+		executions = append(executions, e)
+	}
+	return executions, lines.Err()
+}
+
+// RunTwice returns the executions of effects that had already been executed, by effect identity and by the caller's key.
+func RunTwice(executions []Execution) []Execution {
+	seen := map[Execution]bool{}
+	var twice []Execution
+	for _, e := range executions {
+		if e.Effect == "" {
+			continue
+		}
+		byEffect := Execution{Operation: e.Operation, Effect: e.Effect}
+		byKey := Execution{Operation: e.Operation, Key: e.Key}
+		if seen[byEffect] || (e.Key != "" && seen[byKey]) {
+			twice = append(twice, e)
+		}
+		seen[byEffect], seen[byKey] = true, true
+	}
+	return twice
+}
