call: name the incarnation in a withdrawal

Cause: a node that was replaced keeps no memory of attempts sent to the former process, so it would answer withdrawn for an attempt that ran. Change: Withdraw carries the choice with the incarnation that the attempt was sent to.

--- a/call/call.go
+++ b/call/call.go
@@ -86,10 +86,10 @@
 )
 
 type attempt struct {
-	id       request.AttemptID
-	instance request.InstanceID
-	loan     budget.Loan
-	fate     fate
+	id     request.AttemptID
+	choice route.Choice
+	loan   budget.Loan
+	fate   fate
 	// crashed is set once the crash of the backend server was reported.
 	crashed bool
 }
@@ -179,7 +179,7 @@
 }
 
 func (c *Call) send(now request.Instant, choice route.Choice, out []Action) []Action {
-	a := attempt{id: c.deps.NextAttempt(), instance: choice.Instance, loan: c.deps.Account.Lend()}
+	a := attempt{id: c.deps.NextAttempt(), choice: choice, loan: c.deps.Account.Lend()}
 	c.attempts = append(c.attempts, a)
 	c.excluded = append(c.excluded, choice.Instance)
 	c.state = running
@@ -286,7 +286,7 @@
 
 func (c *Call) withdraw(now request.Instant, a *attempt, out []Action) []Action {
 	c.waitUntil = now.Add(WithdrawWait)
-	return append(out, Withdraw{Attempt: a.id, Instance: a.instance}, SetTimer{At: c.waitUntil})
+	return append(out, Withdraw{Attempt: a.id, Choice: a.choice}, SetTimer{At: c.waitUntil})
 }
 
 func (c *Call) crashed(now request.Instant, e Crashed, out []Action) []Action {
@@ -308,7 +308,7 @@
 		a := &c.attempts[i]
 		if a.id == e.Attempt && !a.crashed {
 			a.crashed = true
-			return append(out, ReportCrash{Instance: a.instance, Incarnation: e.Incarnation, Fingerprint: c.plan.Fingerprint})
+			return append(out, ReportCrash{Instance: a.choice.Instance, Incarnation: e.Incarnation, Fingerprint: c.plan.Fingerprint})
 		}
 	}
 	return out
--- a/call/call_test.go
+++ b/call/call_test.go
@@ -150,7 +150,7 @@
 	case call.Send:
 		return fmt.Sprintf("send %d to %s remaining %v lent %d", a.Attempt.Number, a.Choice.Instance, a.Remaining, a.Lent)
 	case call.Withdraw:
-		return fmt.Sprintf("withdraw %d from %s", a.Attempt.Number, a.Instance)
+		return fmt.Sprintf("withdraw %d from %s", a.Attempt.Number, a.Choice.Instance)
 	case call.Cancel:
 		return fmt.Sprintf("cancel %d", a.Attempt.Number)
 	case call.Pass:
--- a/call/event.go
+++ b/call/event.go
@@ -94,9 +94,12 @@
 }
 
 // Withdraw asks the destination to withdraw an attempt; the reply is reported as WithdrawReply.
+//
+// Only the incarnation that the attempt was sent to can prove that it did not run: a process that was started since knows nothing of it. A
+// reply of another incarnation is reported as NoReply.
 type Withdraw struct {
-	Attempt  request.AttemptID
-	Instance request.InstanceID
+	Attempt request.AttemptID
+	Choice  route.Choice
 }
 
 // Cancel closes the stream of an attempt, so that the destination stops it.
