--- /dev/null
+++ b/template/doc.go
@@ -0,0 +1,31 @@
+// Package template reads template and customer documents and maps a call to
+// the policy that applies to it.
+//
+// A template lists the operations that one kind of customer may call and
+// declares the parameters that a customer may set:
+//
+//	{
+//	  "operations": [
+//	    {"service": "racedesk", "operation": "record-arrival", "class": "essential",
+//	     "idempotent": false, "timeout_ms": 2000, "extra_attempts": 3}
+//	  ],
+//	  "parameters": [
+//	    {"name": "rate_per_second", "default": 50, "min": 1, "max": 500}
+//	  ]
+//	}
+//
+// A customer names its template and sets parameters:
+//
+//	{"template": "golubarnik", "parameters": {"rate_per_second": 120}}
+//
+// Parsing is strict and reports every problem at once:
+//
+//	t, err := template.ParseTemplate(document)
+//	var invalid *template.Invalid
+//	if errors.As(err, &invalid) {
+//		for _, p := range invalid.Problems {
+//			fmt.Println(p.Field, p.Message, p.Remedy)
+//		}
+//	}
+//	policy, ok := t.Policy(&customer, "racedesk", "record-arrival")
+package template
--- /dev/null
+++ b/template/document.go
@@ -0,0 +1,276 @@
+package template
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+// Bounds on the values in a template.
+const (
+	DefaultExtraAttempts = 3
+	MaxExtraAttempts     = 16               // a larger account lets retries outweigh first attempts
+	MaxTimeout           = 60 * time.Second // the longest deadline, see the tombstone time in section 3 of the design
+	MaxRatePerSecond     = 1_000_000
+	maxOperations        = 512
+)
+
+// Operation is one entry of a template.
+type Operation struct {
+	Service       request.ServiceID
+	Name          request.Operation
+	Timeout       time.Duration
+	ExtraAttempts uint8
+	Class         request.Class
+	Idempotent    bool
+}
+
+// Parameter identifies a parameter that a template declares and a customer sets.
+type Parameter uint8
+
+// The parameters. RatePerSecond must be declared by each template; the others lower the values of its operations.
+const (
+	RatePerSecond Parameter = iota
+	MaxTimeoutMs
+	MaxExtra
+	parameterCount
+)
+
+var parameterNames = [parameterCount]string{"rate_per_second", "max_timeout_ms", "max_extra_attempts"}
+
+// parameterRanges are the widest ranges that a template may declare.
+var parameterRanges = [parameterCount]Range{
+	RatePerSecond: {Min: 1, Max: MaxRatePerSecond},
+	MaxTimeoutMs:  {Min: 1, Max: MaxTimeout.Milliseconds()},
+	MaxExtra:      {Min: 0, Max: MaxExtraAttempts},
+}
+
+// String returns the name of the parameter in documents.
+func (p Parameter) String() string {
+	if p < parameterCount {
+		return parameterNames[p]
+	}
+	return "invalid"
+}
+
+func parseParameter(name string) (Parameter, bool) {
+	for i, known := range parameterNames {
+		if name == known {
+			return Parameter(i), true
+		}
+	}
+	return 0, false
+}
+
+// Range is the declaration of a parameter: its default and its bounds, both included.
+type Range struct {
+	Declared          bool
+	Default, Min, Max int64
+}
+
+func (r Range) clamp(n int64) int64 { return min(max(n, r.Min), r.Max) }
+
+type operationKey struct {
+	service request.ServiceID
+	name    request.Operation
+}
+
+// Template is a parsed template document; it is not changed after ParseTemplate.
+type Template struct {
+	Operations []Operation
+	Parameters [parameterCount]Range
+
+	index map[operationKey]uint16
+}
+
+// Customer is a parsed customer document.
+type Customer struct {
+	Template string
+	Values   [parameterCount]Setting
+}
+
+// Setting is a parameter value that a customer may set.
+type Setting struct {
+	Set   bool
+	Value int64
+}
+
+// ParseTemplate reads a template document; the error is *Invalid and holds every problem.
+func ParseTemplate(document []byte) (*Template, error) {
+	var r report
+	v, err := parse(document)
+	if err != nil {
+		r.add("", err.Error(), "correct the document")
+		return nil, r.err()
+	}
+	t := &Template{}
+	if r.object(&v, "", "operations", "parameters") {
+		t.readOperations(&r, &v)
+		t.readParameters(&r, &v)
+	}
+	if err := r.err(); err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
+func (t *Template) readOperations(r *report, v *value) {
+	items := r.array(v, "", "operations", maxOperations)
+	if f := v.get("operations"); f != nil && f.kind == arrayKind && len(f.items) == 0 {
+		r.add("operations", "is empty", "list at least one operation")
+	}
+	t.Operations = make([]Operation, 0, len(items))
+	t.index = make(map[operationKey]uint16, len(items))
+	for i := range items {
+		path := fmt.Sprintf("operations[%d]", i)
+		o := readOperation(r, &items[i], path)
+		key := operationKey{service: o.Service, name: o.Name}
+		if _, twice := t.index[key]; twice && o.Service != "" && o.Name != "" {
+			r.add(path, fmt.Sprintf("operation %q of service %q is listed twice", o.Name, o.Service), "keep one of the entries")
+		}
+		t.index[key] = uint16(len(t.Operations))
+		t.Operations = append(t.Operations, o)
+	}
+}
+
+func readOperation(r *report, v *value, path string) Operation {
+	if !r.object(v, path, "service", "operation", "class", "idempotent", "timeout_ms", "extra_attempts") {
+		return Operation{}
+	}
+	o := Operation{
+		Service:       request.ServiceID(r.name(v, path, "service")),
+		Name:          request.Operation(r.name(v, path, "operation")),
+		Class:         readClass(r, v, path),
+		Idempotent:    r.boolean(v, path, "idempotent", "write false unless running the operation twice has the effect of running it once"),
+		ExtraAttempts: DefaultExtraAttempts,
+	}
+	if n, ok := r.integer(v.get("timeout_ms"), join(path, "timeout_ms"), 1, MaxTimeout.Milliseconds()); ok {
+		o.Timeout = time.Duration(n) * time.Millisecond
+	}
+	if f := v.get("extra_attempts"); f != nil {
+		n, _ := r.integer(f, join(path, "extra_attempts"), 0, MaxExtraAttempts)
+		o.ExtraAttempts = uint8(n)
+	}
+	return o
+}
+
+func readClass(r *report, v *value, path string) request.Class {
+	const remedy = "use essential, standard or bulk"
+	f := v.get("class")
+	switch {
+	case f == nil:
+		r.add(join(path, "class"), "is missing", remedy)
+	case f.kind != stringKind:
+		r.add(join(path, "class"), "is "+kindNames[f.kind], remedy)
+	default:
+		class, err := request.ParseClass(f.text)
+		if err != nil {
+			r.add(join(path, "class"), fmt.Sprintf("%q is not a class", clip(f.text)), remedy)
+		}
+		return class
+	}
+	return request.Bulk
+}
+
+func (t *Template) readParameters(r *report, v *value) {
+	items := r.array(v, "", "parameters", int(parameterCount))
+	for i := range items {
+		path := fmt.Sprintf("parameters[%d]", i)
+		t.readParameter(r, &items[i], path)
+	}
+	if !t.Parameters[RatePerSecond].Declared {
+		r.add("parameters", "rate_per_second is not declared", "declare it with a default and a range")
+	}
+}
+
+func (t *Template) readParameter(r *report, v *value, path string) {
+	if !r.object(v, path, "name", "default", "min", "max") {
+		return
+	}
+	name := r.name(v, path, "name")
+	p, known := parseParameter(name)
+	if !known {
+		if name != "" {
+			r.add(join(path, "name"), fmt.Sprintf("parameter %q does not exist", name), knownParameters())
+		}
+		return
+	}
+	if t.Parameters[p].Declared {
+		r.add(path, fmt.Sprintf("parameter %q is declared twice", name), "keep one of the entries")
+	}
+	widest := parameterRanges[p]
+	declared := Range{Declared: true}
+	var minOK, maxOK bool
+	declared.Min, minOK = r.integer(v.get("min"), join(path, "min"), widest.Min, widest.Max)
+	declared.Max, maxOK = r.integer(v.get("max"), join(path, "max"), widest.Min, widest.Max)
+	if minOK && maxOK && declared.Min > declared.Max {
+		r.add(join(path, "min"), fmt.Sprintf("%d is above max %d", declared.Min, declared.Max), "lower min or raise max")
+		minOK = false
+	}
+	if minOK && maxOK {
+		widest = declared
+	}
+	declared.Default, _ = r.integer(v.get("default"), join(path, "default"), widest.Min, widest.Max)
+	t.Parameters[p] = declared
+}
+
+// ParseCustomer reads a customer document; the error is *Invalid and holds every problem.
+// Whether the values lie within the template's ranges is the matter of Template.Check.
+func ParseCustomer(document []byte) (Customer, error) {
+	var r report
+	v, err := parse(document)
+	if err != nil {
+		r.add("", err.Error(), "correct the document")
+		return Customer{}, r.err()
+	}
+	var c Customer
+	if r.object(&v, "", "template", "parameters") {
+		c.Template = r.name(&v, "", "template")
+		c.readValues(&r, v.get("parameters"))
+	}
+	if err := r.err(); err != nil {
+		return Customer{}, err
+	}
+	return c, nil
+}
+
+func (c *Customer) readValues(r *report, v *value) {
+	if v == nil {
+		return
+	}
+	if !r.object(v, "parameters", parameterNames[:]...) {
+		return
+	}
+	for i, f := range v.fields {
+		p, known := parseParameter(f.name)
+		if !known {
+			continue
+		}
+		widest := parameterRanges[p]
+		if n, ok := r.integer(&v.fields[i].value, join("parameters", f.name), widest.Min, widest.Max); ok {
+			c.Values[p] = Setting{Set: true, Value: n}
+		}
+	}
+}
+
+// Check reports every value of the customer that the template does not permit; the error is *Invalid.
+func (t *Template) Check(c *Customer) error {
+	var r report
+	for i, s := range c.Values {
+		p, declared := Parameter(i), t.Parameters[i]
+		path := join("parameters", p.String())
+		switch {
+		case !s.Set:
+		case !declared.Declared:
+			r.add(path, fmt.Sprintf("template %q does not declare it", c.Template), "remove it or declare it in the template")
+		case s.Value != declared.clamp(s.Value):
+			r.add(path, fmt.Sprintf("is %d", s.Value), fmt.Sprintf("write a whole number from %d to %d", declared.Min, declared.Max))
+		}
+	}
+	return r.err()
+}
+
+func knownParameters() string {
+	return fmt.Sprintf("use %s, %s or %s", parameterNames[0], parameterNames[1], parameterNames[2])
+}
