--- /dev/null
+++ b/session/session_test.go
@@ -0,0 +1,205 @@
+package session_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/session"
+)
+
+// world runs several nodes in virtual time and counts how often each effect was dispatched.
+type world struct {
+	t        *testing.T
+	now      request.Instant
+	settings session.Settings
+	nodes    map[string]*session.Sessions
+	tickets  map[string]session.Ticket
+	runs     map[string]int
+	freed    map[string]int
+	known    map[string]session.Effect // by ticket and path
+	random   *rand.Rand
+}
+
+func newWorld(t *testing.T) *world {
+	return &world{
+		t: t, nodes: map[string]*session.Sessions{}, tickets: map[string]session.Ticket{},
+		runs: map[string]int{}, freed: map[string]int{}, known: map[string]session.Effect{}, random: rand.New(rand.NewPCG(1, 2)),
+	}
+}
+
+// start starts a node, or starts it again with a new incarnation and nothing in memory.
+func (w *world) start(d *datadriven.TestData) string {
+	s := w.settings
+	name := "n1"
+	d.MaybeScanArgs(w.t, "node", &name)
+	d.MaybeScanArgs(w.t, "kept_bytes", &s.KeptBytes)
+	d.MaybeScanArgs(w.t, "records", &s.Records)
+	d.MaybeScanArgs(w.t, "tickets", &s.Tickets)
+	d.MaybeScanArgs(w.t, "per_caller", &s.TicketsPerCaller)
+	d.MaybeScanArgs(w.t, "waiters", &s.Waiters)
+	s.Instance = request.InstanceID(name)
+	s.Incarnation = request.Incarnation(w.random.Uint64())
+	w.nodes[name] = session.New(s, w.random)
+	return "ok"
+}
+
+func (w *world) node(d *datadriven.TestData) *session.Sessions {
+	name := "n1"
+	d.MaybeScanArgs(w.t, "node", &name)
+	return w.nodes[name]
+}
+
+func (w *world) open(d *datadriven.TestData) string {
+	caller := "10.0.0.1"
+	d.MaybeScanArgs(w.t, "caller", &caller)
+	var name string
+	d.ScanArgs(w.t, "ticket", &name)
+	ticket, err := w.node(d).Open(w.now, netip.MustParseAddr(caller))
+	if err != nil {
+		return err.Error()
+	}
+	parsed, err := session.ParseTicket(ticket.String())
+	qt.Assert(w.t, err, qt.IsNil)
+	qt.Assert(w.t, parsed, qt.Equals, ticket)
+	w.tickets[name] = ticket
+	return "ok"
+}
+
+type args struct {
+	ticket   string
+	sequence request.Sequence
+	attempt  uint16
+	body     string
+	waiter   session.Waiter
+	path     string // positions below the effect, for nested effects
+}
+
+func (w *world) args(d *datadriven.TestData) args {
+	a := args{ticket: "t"}
+	d.MaybeScanArgs(w.t, "ticket", &a.ticket)
+	var seq, attempt, waiter int
+	d.MaybeScanArgs(w.t, "seq", &seq)
+	d.MaybeScanArgs(w.t, "attempt", &attempt)
+	d.MaybeScanArgs(w.t, "waiter", &waiter)
+	d.MaybeScanArgs(w.t, "body", &a.body)
+	d.MaybeScanArgs(w.t, "under", &a.path)
+	a.sequence, a.attempt, a.waiter = request.Sequence(seq), uint16(attempt), session.Waiter(waiter)
+	return a
+}
+
+// effect returns the identity of an effect, as the node that dispatched it knows it.
+func (w *world) effect(a args) session.Effect { return w.known[a.key()] }
+
+func (a args) key() string { return fmt.Sprintf("%s%s/%d", a.ticket, a.path, a.sequence) }
+
+func (w *world) begin(d *datadriven.TestData) string {
+	a := w.args(d)
+	fingerprint := request.FingerprintOf("", "", "", []byte(a.body))
+	var decision session.Decision
+	if a.path == "" {
+		decision = w.node(d).Begin(w.now, session.Send{
+			Ticket: w.tickets[a.ticket], Sequence: a.sequence, Attempt: a.attempt, Fingerprint: fingerprint,
+			Waiter: a.waiter, Forwarded: d.HasArg("forwarded"),
+		})
+	} else {
+		decision = w.node(d).BeginNested(session.NestedSend{
+			Parent: w.known[a.ticket+a.path], Position: a.sequence, Attempt: a.attempt, Fingerprint: fingerprint, Waiter: a.waiter,
+		})
+	}
+	if decision.Verdict == session.Run {
+		id := decision.Effect.String()
+		parsed, err := session.ParseEffect(id)
+		qt.Assert(w.t, err, qt.IsNil)
+		qt.Assert(w.t, parsed, qt.Equals, decision.Effect)
+		w.known[a.key()] = decision.Effect
+		w.runs[id]++
+		qt.Assert(w.t, w.runs[id], qt.Equals, w.freed[id]+1, qt.Commentf("effect %s runs twice", id))
+	}
+	return describe(decision)
+}
+
+func describe(d session.Decision) string {
+	switch d.Verdict {
+	case session.Refuse:
+		return fmt.Sprintf("refuse %v %v", d.Outcome, d.Reason)
+	case session.Replay:
+		return fmt.Sprintf("replay %v %s", d.Outcome, d.Response.Body[:min(8, len(d.Response.Body))])
+	}
+	return d.Verdict.String()
+}
+
+func (w *world) finish(d *datadriven.TestData) string {
+	a := w.args(d)
+	e := w.effect(a)
+	end := session.End{Outcome: request.Answered}
+	outcome := "answered"
+	d.MaybeScanArgs(w.t, "outcome", &outcome)
+	switch outcome {
+	case "not_run":
+		end = session.End{Outcome: request.NotRun, Reason: request.Overloaded}
+		w.freed[e.String()]++
+	case "failed":
+		end.Outcome, end.Reason = request.Failed, request.BackendError
+	case "unknown":
+		end = session.End{Outcome: request.Unknown, Reason: request.ConnectionLost}
+	}
+	size := 8
+	d.MaybeScanArgs(w.t, "size", &size)
+	if size > 0 && outcome != "not_run" {
+		end.Response = &session.Response{Status: 200, Body: []byte(strings.Repeat("x", size))}
+	}
+	ended := w.node(d).Finish(w.now, e, end)
+	return fmt.Sprintf("waiters %v: %s", ended.Waiters, describe(ended.Decision))
+}
+
+// Guards against an effect that runs twice and an outcome that claims more than is known, when sends are repeated, delayed,
+// sent through other nodes, or arrive after a pause, a restart or an eviction.
+func TestSessions(t *testing.T) {
+	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
+		w := newWorld(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			w.t = t
+			switch d.Cmd {
+			case "start":
+				return w.start(d)
+			case "open":
+				return w.open(d)
+			case "begin":
+				return w.begin(d)
+			case "finish":
+				return w.finish(d)
+			case "open-call":
+				w.node(d).OpenCall(w.effect(w.args(d)))
+				return "ok"
+			case "end-call":
+				return fmt.Sprintf("waiters %v", w.node(d).EndCall(w.effect(w.args(d))))
+			case "leave":
+				a := w.args(d)
+				w.node(d).Leave(w.effect(a), a.waiter)
+				return "ok"
+			case "close":
+				return fmt.Sprint(w.node(d).Close(w.tickets[w.args(d).ticket]))
+			case "pause", "advance":
+				duration, err := time.ParseDuration(d.CmdArgs[0].Key)
+				qt.Assert(t, err, qt.IsNil)
+				w.now = w.now.Add(duration)
+				if d.Cmd == "advance" {
+					w.node(d).Tick(w.now)
+				}
+				return "ok"
+			case "stats":
+				return fmt.Sprintf("%+v", w.node(d).Stats())
+			}
+			t.Fatalf("unknown command %q", d.Cmd)
+			return ""
+		})
+	})
+}
