--- /dev/null
+++ b/configuration/row.go
@@ -0,0 +1,76 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/sapphiretack/sapphiretack/platform"
+)
+
+// The keys of the rows. All begin with rowPrefix.
+const (
+	rowPrefix    = "configuration/"
+	headKey      = platform.Key(rowPrefix + "head")
+	objectPrefix = rowPrefix + "object/"
+	changePrefix = rowPrefix + "change/"
+	logPrefix    = rowPrefix + "log/"
+	usesPrefix   = rowPrefix + "uses/"
+)
+
+// DefaultLogLength is the number of changes that stay in the log and whose identifiers are known: one day's worth at full size.
+const DefaultLogLength = 12_000
+
+func objectRowKey(k Kind, name string) platform.Key {
+	return platform.Key(objectPrefix + k.String() + "/" + name)
+}
+
+func changeKey(id ChangeID) platform.Key { return platform.Key(changePrefix + string(id)) }
+
+// logKey writes the version with a fixed number of digits, so that key order is version order.
+func logKey(v Version) platform.Key {
+	return platform.Key(fmt.Sprintf("%s%016x", logPrefix, uint64(v)))
+}
+
+func usesKey(name string) platform.Key { return platform.Key(usesPrefix + name) }
+
+// headRow is the value of the head row.
+type headRow struct {
+	Version Version `json:"version"`
+	Digest  uint64  `json:"digest"` // sum of the digests of all objects
+}
+
+// changeRow is the value of the row of a change identifier.
+type changeRow struct {
+	Fingerprint string `json:"fingerprint"`
+	Object      Object `json:"object"`
+}
+
+// logRow is the value of a log row.
+type logRow struct {
+	Change ChangeID `json:"change"`
+	Object Object   `json:"object"`
+}
+
+// usesRow counts the customers that name a template, so that a template in use is not withdrawn.
+type usesRow struct {
+	Customers int `json:"customers"`
+}
+
+// decode reads a row; a missing row leaves v as it is.
+func decode(row platform.Row, v any) error {
+	if row.Revision == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(row.Value, v); err != nil {
+		return Unavailable.New("row %q cannot be read: %v; check which program writes to the table", row.Key, err)
+	}
+	return nil
+}
+
+func encode(key platform.Key, v any) platform.Write {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // the row types always marshal
+	}
+	return platform.Write{Key: key, Value: data}
+}
--- /dev/null
+++ b/configuration/store_test.go
@@ -0,0 +1,158 @@
+package configuration_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/configuration"
+	"github.com/sapphiretack/sapphiretack/platform"
+)
+
+const templateDocument = `{"operations": [{"service": "racedesk", "operation": "record-arrival", "class": "essential",
+	"idempotent": false, "timeout_ms": 2000}],
+	"parameters": [{"name": "rate_per_second", "default": 50, "min": 1, "max": 500}]}`
+
+func customerDocument(rate int) []byte {
+	return fmt.Appendf(nil, `{"template": "clubs", "parameters": {"rate_per_second": %d}}`, rate)
+}
+
+func publishTemplate(t testing.TB, s *configuration.Store) {
+	_, err := s.Commit(context.Background(), configuration.Change{
+		ID: "t-1", Kind: configuration.Template, Name: "clubs", Document: []byte(templateDocument),
+	})
+	qt.Assert(t, err, qt.IsNil)
+}
+
+func customerChange(id configuration.ChangeID, revision configuration.Revision, rate int) configuration.Change {
+	return configuration.Change{ID: id, Kind: configuration.Customer, Name: "club-17", Revision: revision, Document: customerDocument(rate)}
+}
+
+// newTable returns a platform with a template and a customer at revision 1, whose stale state is from before the customer.
+// The log holds two changes, so that each further change also trims it.
+func newTable(t testing.TB) (*platform.Fake, *configuration.Store) {
+	fake := platform.NewFake()
+	s := configuration.NewWithLog(fake, 2)
+	publishTemplate(t, s)
+	fake.Freeze()
+	_, err := s.Commit(context.Background(), customerChange("c-1", 0, 10))
+	qt.Assert(t, err, qt.IsNil)
+	return fake, s
+}
+
+// script injects faults by the number of the request.
+type script map[int]platform.Fault
+
+func (s script) inject(fake *platform.Fake, steps *int) {
+	fake.Inject(func(context.Context, platform.OperationKind) platform.Fault {
+		*steps++
+		return s[*steps]
+	})
+}
+
+func show(t testing.TB, s *configuration.Store) configuration.Object {
+	o, err := s.Show(context.Background(), configuration.Customer, "club-17")
+	qt.Assert(t, err, qt.IsNil)
+	return o
+}
+
+// checkCommit commits a change under the faults and checks that what is told is what happened, at once and after late delivery.
+func checkCommit(t *testing.T, faults script) {
+	fake, s := newTable(t)
+	ctx := context.Background()
+	change := customerChange("c-2", 1, 20)
+	steps := 0
+	faults.inject(fake, &steps)
+	o, err := s.Commit(ctx, change)
+	fake.Inject(nil)
+	fake.Deliver()
+	comment := qt.Commentf("faults %v, error %v", faults, err)
+	switch {
+	case err == nil:
+		qt.Assert(t, o, qt.DeepEquals, show(t, s), comment)
+		qt.Assert(t, o.Revision, qt.Equals, configuration.Revision(2), comment)
+	case configuration.Unavailable.Has(err):
+		qt.Assert(t, show(t, s).Revision, qt.Equals, configuration.Revision(1), comment)
+	default:
+		qt.Assert(t, configuration.Indeterminate.Has(err), qt.IsTrue, comment)
+	}
+	again, err := s.Commit(ctx, change)
+	qt.Assert(t, err, qt.IsNil, comment)
+	qt.Assert(t, again, qt.DeepEquals, show(t, s), comment)
+	qt.Assert(t, again.Revision, qt.Equals, configuration.Revision(2), comment)
+	qt.Assert(t, again.Version, qt.Equals, configuration.Version(3), comment)
+	u, err := s.Since(ctx, 0)
+	qt.Assert(t, err, qt.IsNil, comment)
+	qt.Assert(t, u.Version, qt.Equals, configuration.Version(3), comment)
+}
+
+// Guards against a change that is applied twice, told wrongly or lost, with one or two faults at every step of its commit.
+func TestCommitFaults(t *testing.T) {
+	faults := []platform.Fault{platform.Down, platform.LostRequest, platform.LostResponse, platform.StaleRead, platform.Delayed}
+	const steps = 10 // a commit takes 4 reads and a transaction; a second try takes as many
+	for first := 1; first <= steps; first++ {
+		for _, f := range faults {
+			checkCommit(t, script{first: f})
+			for second := first + 1; second <= steps; second++ {
+				for _, g := range faults {
+					checkCommit(t, script{first: f, second: g})
+				}
+			}
+		}
+	}
+}
+
+// Guards against a false report when a fault lasts: every request down, lost, stale or delayed.
+func TestCommitLastingFault(t *testing.T) {
+	for _, f := range []platform.Fault{platform.Down, platform.LostRequest, platform.LostResponse, platform.StaleRead, platform.Delayed} {
+		for first := 1; first <= 8; first++ {
+			faults := script{}
+			for step := first; step < 100; step++ {
+				faults[step] = f
+			}
+			checkCommit(t, faults)
+		}
+	}
+}
+
+// Guards against two operators who both believe that their change was made. The second operator's change is made before
+// each step of the first one's, with and without the loss of the first one's response.
+func TestTwoOperators(t *testing.T) {
+	for at := 1; at <= 12; at++ {
+		for _, fault := range []platform.Fault{platform.NoFault, platform.LostResponse, platform.Delayed} {
+			fake, s := newTable(t)
+			ctx := context.Background()
+			var second error
+			steps := 0
+			fake.Inject(func(ctx context.Context, k platform.OperationKind) platform.Fault {
+				steps++
+				if steps == at {
+					fake.Deliver()
+					_, second = s.Commit(ctx, customerChange("c-3", 1, 30))
+				}
+				if k == platform.CommitOperation && steps < at {
+					return fault
+				}
+				return platform.NoFault
+			})
+			_, first := s.Commit(ctx, customerChange("c-2", 1, 20))
+			fake.Inject(nil)
+			fake.Deliver()
+			if steps < at {
+				_, second = s.Commit(ctx, customerChange("c-3", 1, 30))
+			}
+			comment := qt.Commentf("step %d, fault %v: first %v, second %v", at, fault, first, second)
+			qt.Assert(t, (first == nil) != (second == nil), qt.IsTrue, comment)
+			loser := first
+			if first == nil {
+				loser = second
+			}
+			var conflict *configuration.Conflict
+			qt.Assert(t, errors.As(loser, &conflict), qt.IsTrue, comment)
+			qt.Assert(t, conflict.Present, qt.DeepEquals, show(t, s), comment)
+		}
+	}
+}
