session: test claims under lost responses, races and releases

Cause: a key granted twice runs an effect twice. Change: scripts of lost, delayed and refused transactions, races between nodes and releases, and 300 random runs with fixed seeds.

--- /dev/null
+++ b/session/claim_test.go
@@ -0,0 +1,207 @@
+package session_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/platform"
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/session"
+)
+
+// claimWorld runs the claims of several nodes against one platform, in virtual time. Actions wait until a step carries them out.
+type claimWorld struct {
+	t      *testing.T
+	now    request.Instant
+	fake   *platform.Fake
+	nodes  map[string]*claimNode
+	owners map[string]string // node that was granted a key and has not released it
+	log    strings.Builder
+}
+
+type claimNode struct {
+	name    string
+	claims  *session.Claims
+	pending []session.ClaimAction
+	keys    map[session.Waiter]string
+}
+
+func newClaimWorld(t *testing.T) *claimWorld {
+	w := &claimWorld{t: t, fake: platform.NewFake(), nodes: map[string]*claimNode{}, owners: map[string]string{}}
+	for i, name := range []string{"n1", "n2"} {
+		s := session.ClaimSettings{Instance: request.InstanceID(name), Incarnation: request.Incarnation(i + 1), Batch: 3, Queue: 4}
+		claims := session.NewClaims(s, rand.New(rand.NewPCG(uint64(i), 1)))
+		w.nodes[name] = &claimNode{name: name, claims: claims, keys: map[session.Waiter]string{}}
+	}
+	return w
+}
+
+// handle handles one event and notes what is resolved. A second grant of a key is the fault that all tests here guard against.
+func (w *claimWorld) handle(n *claimNode, e session.ClaimEvent) {
+	for _, a := range n.claims.Handle(w.now, e, nil) {
+		r, ok := a.(session.ResolveClaim)
+		if !ok {
+			n.pending = append(n.pending, a)
+			continue
+		}
+		key := n.keys[r.Waiter]
+		if !r.Granted {
+			fmt.Fprintf(&w.log, "%s %s waiter %d: %v %v\n", n.name, key, r.Waiter, r.Outcome, r.Reason)
+			continue
+		}
+		fmt.Fprintf(&w.log, "%s %s waiter %d: granted\n", n.name, key, r.Waiter)
+		qt.Assert(w.t, w.owners[key], qt.Equals, "", qt.Commentf("key %s granted twice", key))
+		qt.Assert(w.t, r.Effect, qt.Equals, session.KeyEffect("c", key))
+		w.owners[key] = n.name
+	}
+}
+
+// step carries out the oldest pending action of a node and reports whether there was one.
+func (w *claimWorld) step(n *claimNode, fault platform.Fault) bool {
+	if len(n.pending) == 0 {
+		return false
+	}
+	action := n.pending[0]
+	n.pending = n.pending[1:]
+	w.fake.Inject(func(context.Context, platform.OperationKind) platform.Fault { return fault })
+	defer w.fake.Inject(nil)
+	switch a := action.(type) {
+	case session.CommitClaims:
+		err := w.fake.Commit(context.Background(), a.Transaction)
+		fmt.Fprintf(&w.log, "%s commit %d: %v\n", n.name, len(a.Transaction.Writes), className(err))
+		w.handle(n, session.ClaimCommitted{Batch: a.Batch, Err: err})
+	case session.ReadClaims:
+		rows, err := w.fake.Read(context.Background(), a.Keys)
+		fmt.Fprintf(&w.log, "%s read %d: %v\n", n.name, len(a.Keys), className(err))
+		w.handle(n, session.ClaimRead{Batch: a.Batch, Rows: rows, Err: err})
+	}
+	return true
+}
+
+func className(err error) string {
+	if err == nil {
+		return "ok"
+	}
+	name, _, _ := strings.Cut(err.Error(), ":")
+	return name
+}
+
+func (w *claimWorld) claim(n *claimNode, key string, waiter session.Waiter, first bool) {
+	n.keys[waiter] = key
+	w.handle(n, session.ClaimRequested{Claim: session.Claim{
+		Customer: "c", Key: key, FirstSend: first, Deadline: w.now.Add(2 * time.Second), Waiter: waiter,
+	}})
+}
+
+func (w *claimWorld) release(n *claimNode, key string) {
+	if w.owners[key] == n.name {
+		w.owners[key] = ""
+	}
+	w.handle(n, session.ClaimReleased{Customer: "c", Key: key})
+}
+
+func parseFault(s string) platform.Fault {
+	return map[string]platform.Fault{
+		"": platform.NoFault, "down": platform.Down, "lost_request": platform.LostRequest,
+		"lost_response": platform.LostResponse, "stale": platform.StaleRead, "delayed": platform.Delayed,
+	}[s]
+}
+
+// Guards against a key that is granted twice and an outcome that claims more than is known, under lost responses, races
+// between nodes, releases and outages.
+func TestClaims(t *testing.T) {
+	datadriven.Walk(t, "testdata/claims", func(t *testing.T, path string) {
+		w := newClaimWorld(t)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			w.t = t
+			name, key, waiter, fault := "n1", "k", 0, ""
+			d.MaybeScanArgs(t, "node", &name)
+			d.MaybeScanArgs(t, "key", &key)
+			d.MaybeScanArgs(t, "waiter", &waiter)
+			d.MaybeScanArgs(t, "fault", &fault)
+			n := w.nodes[name]
+			w.log.Reset()
+			switch d.Cmd {
+			case "claim":
+				w.claim(n, key, session.Waiter(waiter), d.HasArg("first"))
+			case "release":
+				w.release(n, key)
+			case "finish":
+				w.handle(n, session.ClaimFinished{Customer: "c", Key: key})
+			case "step":
+				w.step(n, parseFault(fault))
+			case "freeze":
+				w.fake.Freeze()
+			case "deliver":
+				w.fake.Deliver()
+			case "advance":
+				w.now = w.now.Add(3 * time.Second)
+			case "rows":
+				return fmt.Sprint(w.fake.Len())
+			default:
+				t.Fatalf("unknown command %q", d.Cmd)
+			}
+			for _, a := range n.pending {
+				fmt.Fprintf(&w.log, "%s pending %T\n", n.name, a)
+			}
+			return w.log.String()
+		})
+	})
+}
+
+// Guards against a double grant in orders that no script lists: random claims, releases, faults, late deliveries and stale
+// reads at two nodes. The seeds are fixed.
+func TestClaimsRandom(t *testing.T) {
+	faults := []platform.Fault{
+		platform.NoFault, platform.NoFault, platform.Down, platform.LostRequest, platform.LostResponse, platform.StaleRead, platform.Delayed,
+	}
+	granted, resolved := 0, 0
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		w := newClaimWorld(t)
+		w.now = 0
+		names := []string{"n1", "n2"}
+		for i := range 400 {
+			n := w.nodes[names[random.IntN(2)]]
+			key := string(rune('a' + random.IntN(3)))
+			switch random.IntN(8) {
+			case 0, 1:
+				w.claim(n, key, session.Waiter(i+1), random.IntN(2) == 0)
+			case 2:
+				if w.owners[key] == n.name {
+					w.release(n, key)
+				}
+			case 3:
+				w.fake.Freeze()
+			case 4:
+				w.fake.Deliver()
+			default:
+				w.step(n, faults[random.IntN(len(faults))])
+			}
+			w.now = w.now.Add(time.Duration(random.IntN(300)) * time.Millisecond)
+		}
+		for range 100 {
+			a, b := w.step(w.nodes["n1"], platform.NoFault), w.step(w.nodes["n2"], platform.NoFault)
+			if !a && !b {
+				break
+			}
+		}
+		log := w.log.String()
+		granted += strings.Count(log, ": granted")
+		resolved += strings.Count(log, " waiter ")
+		var waiters int
+		for _, n := range w.nodes {
+			waiters += len(n.keys)
+		}
+		qt.Assert(t, strings.Count(log, " waiter "), qt.Equals, waiters, qt.Commentf("seed %d: a claim was resolved twice or never", seed))
+	}
+	qt.Assert(t, slices.Min([]int{granted, resolved - granted}) > 300, qt.IsTrue, qt.Commentf("granted %d of %d", granted, resolved))
+}
