load: add the load generator and the command line

Cause: operators need a command line, and the demo needs callers that resend honestly and check what they receive.

Conclusion: the demo can be put together once the node runs.

--- /dev/null
+++ b/cmd/sapphiretack/check.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+
+	"github.com/integrii/flaggy"
+	"github.com/tailscale/hujson"
+
+	"github.com/sapphiretack/sapphiretack/settings"
+	"github.com/sapphiretack/sapphiretack/template"
+)
+
+func checkCommand(parser *flaggy.Parser, output *outputFlags) command {
+	var kind, path string
+	sub := newCommand(&parser.Subcommand, output, "check", "check a file without using it; every problem is printed",
+		"sapphiretack check settings /etc/sapphiretack/node.json",
+		"sapphiretack check deployment deployments/golubarnik/deployment.json",
+		"sapphiretack check template deployments/golubarnik/template.json",
+		"sapphiretack check customer deployments/golubarnik/customer.json")
+	sub.AddPositionalValue(&kind, "kind", 1, true, "settings, deployment, template or customer")
+	sub.AddPositionalValue(&path, "file", 2, true, "the file")
+	return command{sub: sub, run: func(_ context.Context, p *printer) error {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		return check(p, kind, path, data)
+	}}
+}
+
+func check(p *printer, kind, path string, data []byte) error {
+	switch kind {
+	case "settings":
+		s, err := settings.Read(path, data)
+		if err != nil {
+			return err
+		}
+		p.members([]memberLine{newMemberLine(s)})
+	case "deployment":
+		return checkDeployment(p, path, data)
+	case "template", "customer":
+		if _, err := readDocument(kind, path, data); err != nil {
+			return err
+		}
+		p.ok(path, kind)
+	default:
+		return usageError.New("the kind %q is unknown; use settings, deployment, template or customer", kind)
+	}
+	return nil
+}
+
+func checkDeployment(p *printer, path string, data []byte) error {
+	d, err := settings.ReadDeployment(path, data)
+	if err != nil {
+		return err
+	}
+	lines := make([]memberLine, len(d.Instances))
+	for i, m := range d.Instances {
+		s, err := d.Settings(m.Name)
+		if err != nil {
+			return err
+		}
+		lines[i] = newMemberLine(s)
+	}
+	p.members(lines)
+	return nil
+}
+
+// readDocument checks a template or customer document, which may have comments, and returns it as plain JSON.
+func readDocument(kind, path string, data []byte) ([]byte, error) {
+	// Standardize overwrites comments with spaces, so that places stay the same.
+	plain, err := hujson.Standardize(append([]byte(nil), data...))
+	if err != nil {
+		line, column := settings.Place(data, "")
+		return nil, settings.Problems{{File: path, Line: line, Column: column, Found: err.Error(), Remedy: "write JSON; comments and trailing commas are allowed"}}
+	}
+	if kind == "template" {
+		_, err = template.ParseTemplate(plain)
+	} else {
+		_, err = template.ParseCustomer(plain)
+	}
+	var invalid *template.Invalid
+	if !errors.As(err, &invalid) {
+		return plain, err
+	}
+	problems := make(settings.Problems, len(invalid.Problems))
+	for i, problem := range invalid.Problems {
+		line, column := settings.Place(data, problem.Field)
+		problems[i] = settings.Problem{File: path, Line: line, Column: column, Field: problem.Field, Found: problem.Message, Remedy: problem.Remedy}
+	}
+	return nil, problems
+}
--- /dev/null
+++ b/cmd/sapphiretack/configuration.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/sapphiretack/sapphiretack/operator"
+)
+
+const (
+	defaultOperator = "127.0.0.1:7402"
+
+	// responseTimeout is longer than a transaction with one retry on a slow platform.
+	responseTimeout = 5 * time.Second
+)
+
+// clientFlags say which operator listeners to ask.
+type clientFlags struct {
+	operators []string
+}
+
+func (f *clientFlags) attach(sub *flaggy.Subcommand) {
+	sub.StringSlice(&f.operators, "o", "operator", "operator listener of any node; several may be given (default "+defaultOperator+")")
+}
+
+func (f *clientFlags) client() *operator.Client {
+	addresses := f.operators
+	if len(addresses) == 0 {
+		addresses = []string{defaultOperator}
+	}
+	return operator.NewClient(addresses, &http.Client{Timeout: responseTimeout})
+}
+
+// changeFlags describe one change.
+type changeFlags struct {
+	clientFlags
+	name     string
+	path     string
+	revision uint64
+	change   string
+}
+
+func configurationCommands(parser *flaggy.Parser, output *outputFlags) []command {
+	template := flaggy.NewSubcommand("template")
+	template.Description = "publish, change, withdraw or show a template"
+	customer := flaggy.NewSubcommand("customer")
+	customer.Description = "set or show a customer"
+	parser.AttachSubcommand(template, 1)
+	parser.AttachSubcommand(customer, 1)
+
+	publish := newCommand(template, output, "publish", "publish a new template",
+		"sapphiretack template publish golubarnik deployments/golubarnik/template.json")
+	change := newCommand(template, output, "change", "change a template",
+		"sapphiretack template change golubarnik template.json --revision 3")
+	withdraw := newCommand(template, output, "withdraw", "withdraw a template",
+		"sapphiretack template withdraw golubarnik --revision 3")
+	show := newCommand(template, output, "show", "show the present template",
+		"sapphiretack template show golubarnik")
+	set := newCommand(customer, output, "set", "set the parameters of a customer",
+		"sapphiretack customer set sofia-club customer.json",
+		"sapphiretack customer set sofia-club customer.json --revision 5")
+	showCustomer := newCommand(customer, output, "show", "show the present parameters of a customer",
+		"sapphiretack customer show sofia-club")
+	return []command{
+		commitCommand(publish, operator.KindTemplate, documentOnly),
+		commitCommand(change, operator.KindTemplate, documentAndRevision),
+		commitCommand(withdraw, operator.KindTemplate, revisionOnly),
+		showCommand(show, operator.KindTemplate),
+		commitCommand(set, operator.KindCustomer, documentAndOptionalRevision),
+		showCommand(showCustomer, operator.KindCustomer),
+	}
+}
+
+// changeForm says what a change takes besides the name.
+type changeForm struct {
+	document bool
+	revision bool // has the flag
+	required bool // the revision must be given
+}
+
+var (
+	documentOnly                = changeForm{document: true}
+	documentAndRevision         = changeForm{document: true, revision: true, required: true}
+	revisionOnly                = changeForm{revision: true, required: true}
+	documentAndOptionalRevision = changeForm{document: true, revision: true}
+)
+
+func commitCommand(sub *flaggy.Subcommand, kind operator.Kind, form changeForm) command {
+	var f changeFlags
+	f.attach(sub)
+	sub.AddPositionalValue(&f.name, "name", 1, true, "name of the object")
+	if form.document {
+		sub.AddPositionalValue(&f.path, "file", 2, true, "document in JSON with comments")
+	}
+	if form.revision {
+		sub.UInt64(&f.revision, "r", "revision", "present revision, as show prints it; 0 for a new object")
+	}
+	sub.String(&f.change, "c", "change", "identifier of a change whose response was lost")
+	return command{sub: sub, run: func(ctx context.Context, p *printer) error {
+		return f.commit(ctx, p, kind, form)
+	}}
+}
+
+func (f *changeFlags) commit(ctx context.Context, p *printer, kind operator.Kind, form changeForm) error {
+	c := operator.Change{ID: operator.ChangeID(f.change), Kind: kind, Name: f.name, Revision: f.revision, Withdrawn: !form.document}
+	if f.change == "" {
+		c.ID = operator.NewChangeID()
+	}
+	if !c.ID.Valid() {
+		return usageError.New("the change identifier %q has the wrong form; give the 32 hexadecimal digits that the lost change printed", f.change)
+	}
+	if form.required && f.revision == 0 {
+		return usageError.New("the revision is missing; show the object and give its revision with --revision")
+	}
+	if form.document {
+		data, err := os.ReadFile(f.path)
+		if err != nil {
+			return err
+		}
+		if c.Document, err = readDocument(documentKind(kind), f.path, data); err != nil {
+			return err
+		}
+	}
+	object, err := f.client().Commit(ctx, c)
+	if err != nil {
+		return err
+	}
+	p.object(object, c.ID)
+	return nil
+}
+
+func documentKind(kind operator.Kind) string {
+	if kind == operator.KindTemplate {
+		return "template"
+	}
+	return "customer"
+}
+
+func showCommand(sub *flaggy.Subcommand, kind operator.Kind) command {
+	var f changeFlags
+	f.attach(sub)
+	sub.AddPositionalValue(&f.name, "name", 1, true, "name of the object")
+	return command{sub: sub, run: func(ctx context.Context, p *printer) error {
+		object, err := f.client().Show(ctx, kind, f.name)
+		if err != nil {
+			return err
+		}
+		p.object(object, "")
+		return nil
+	}}
+}
--- /dev/null
+++ b/load/caller.go
@@ -0,0 +1,196 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+// maxSession bounds the response to POST /session.
+const maxSession = 64 << 10
+
+// Run generates load until the duration has passed and the last outcomes are known, or the context ends.
+func Run(ctx context.Context, s Settings) (*Report, error) {
+	if err := s.check(); err != nil {
+		return nil, err
+	}
+	report := newReport(s.Duration)
+	end := time.Now().Add(s.Duration)
+	var group errgroup.Group
+	for i := range s.Callers {
+		group.Go(func() error {
+			newCaller(s, i, report).run(ctx, end)
+			return nil
+		})
+	}
+	return report, group.Wait()
+}
+
+// caller sends one request after the other over its own connection.
+type caller struct {
+	settings Settings
+	number   int
+	report   *Report
+	random   *rand.Rand
+	client   *http.Client
+	target   int
+	ticket   string
+	issuer   int // target that issued the ticket
+	sequence request.Sequence
+	requests int
+}
+
+func newCaller(s Settings, number int, report *Report) *caller {
+	var transport http.RoundTripper = &http.Transport{MaxIdleConnsPerHost: 1}
+	if s.Transport != nil {
+		transport = s.Transport()
+	}
+	return &caller{
+		settings: s, number: number, report: report, target: number % len(s.Targets),
+		random: rand.New(rand.NewPCG(s.Seed, uint64(number))),
+		client: &http.Client{Transport: transport},
+	}
+}
+
+func (c *caller) run(ctx context.Context, end time.Time) {
+	defer c.close(ctx)
+	// Callers start at different times, so that they do not send in step.
+	next := time.Now().Add(time.Duration(c.random.Int64N(int64(c.settings.Interval))))
+	for next.Before(end) && wait(ctx, time.Until(next)) {
+		c.request(ctx)
+		next = next.Add(c.settings.Interval)
+		if now := time.Now(); next.Before(now) {
+			next = now
+		}
+	}
+}
+
+// request sends one request until its outcome is final.
+func (c *caller) request(ctx context.Context) {
+	p := &pending{kind: c.pick(), id: request.NewID(c.random), key: fmt.Sprintf("%d-%d-%d", c.settings.Seed, c.number, c.requests)}
+	c.requests++
+	start := time.Now()
+	if p.kind.Effect {
+		if c.ticket == "" && !c.open(ctx) {
+			c.report.add(p.kind, reply{outcome: request.NotRun, reason: "no_session"}, 0, time.Since(start))
+			return
+		}
+		c.sequence++
+		p.ticket, p.sequence = c.ticket, c.sequence
+	}
+	r := c.deliver(ctx, p)
+	if ctx.Err() != nil {
+		return
+	}
+	c.report.add(p.kind, r, p.sends, time.Since(start))
+	if p.kind.Effect && r.reason == request.TicketUnknown.String() {
+		c.ticket = ""
+	}
+}
+
+// deliver sends and resends a request and returns the last reply.
+func (c *caller) deliver(ctx context.Context, p *pending) reply {
+	lost := false
+	for {
+		r := p.send(ctx, c.client, c.settings.Targets[c.target], c.settings.Customer)
+		c.report.sent(p.kind, r)
+		lost = lost || r.reason == reasonLost
+		d := decide(r, p.kind.Effect, p.sends, c.settings.MaxSends)
+		if d.move {
+			c.target = (c.target + 1) % len(c.settings.Targets)
+		}
+		if !d.resend || !wait(ctx, d.wait) {
+			if lost && r.reason == reasonUnsent {
+				// An earlier send may have run.
+				r.outcome = request.Unknown
+			}
+			return r
+		}
+	}
+}
+
+// pick draws a kind by weight.
+func (c *caller) pick() Kind {
+	total := 0
+	for _, k := range c.settings.Mix {
+		total += k.Weight
+	}
+	n := c.random.IntN(total)
+	for _, k := range c.settings.Mix {
+		if n < k.Weight {
+			return k
+		}
+		n -= k.Weight
+	}
+	return c.settings.Mix[0]
+}
+
+// opened is the part of the response to POST /session that a caller uses.
+type opened struct {
+	Ticket string `json:"ticket"`
+}
+
+// open opens a session at the present node, or at the next one when that fails.
+func (c *caller) open(ctx context.Context) bool {
+	for range c.settings.Targets {
+		var o opened
+		if c.session(ctx, http.MethodPost, &o) && o.Ticket != "" {
+			c.ticket, c.issuer, c.sequence = o.Ticket, c.target, 0
+			return true
+		}
+		c.target = (c.target + 1) % len(c.settings.Targets)
+	}
+	return false
+}
+
+// close closes the session, since a caller address may hold a bounded number of tickets.
+func (c *caller) close(ctx context.Context) {
+	if c.ticket != "" {
+		c.target = c.issuer
+		c.session(context.WithoutCancel(ctx), http.MethodDelete, nil)
+	}
+	c.client.CloseIdleConnections()
+}
+
+func (c *caller) session(ctx context.Context, method string, result *opened) bool {
+	ctx, cancel := context.WithTimeout(ctx, answerMargin)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.settings.Targets[c.target]+"/session", http.NoBody)
+	if err != nil {
+		return false
+	}
+	r.Header.Set("Sapphiretack-Customer", string(c.settings.Customer))
+	if method == http.MethodDelete {
+		r.Header.Set("Sapphiretack-Ticket", c.ticket)
+	}
+	response, err := c.client.Do(r)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxSession))
+	if err != nil || response.StatusCode >= http.StatusMultipleChoices {
+		return false
+	}
+	return result == nil || json.Unmarshal(body, result) == nil
+}
+
+// wait returns false if the context ends first.
+func wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/load/doc.go
@@ -0,0 +1,14 @@
+// Package load generates load over real connections and reports how it ended.
+//
+// Each caller keeps a connection to one node, opens a session, and sends
+// effects with its ticket and reads without. It resends honestly: a resend has
+// the same request ID and sequence and a higher attempt number, it waits for
+// the time in retry_after_ms, and it follows only an outcome after which a
+// resend is permitted.
+//
+//	report := load.Run(ctx, load.Settings{
+//		Targets: []string{"127.0.0.1:17400", "127.0.0.1:17410"}, Customer: "sofia-club",
+//		Mix: mix, Callers: 60, Interval: 100 * time.Millisecond, Duration: 8 * time.Second, Seed: 1,
+//	})
+//	report.Write(os.Stdout)
+package load
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,139 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+// Report counts outcomes by class.
+type Report struct {
+	Seconds float64           `json:"seconds"` // time during which requests were started
+	Classes map[string]*Class `json:"classes"`
+	// Refused counts sends by the reason of a reply other than an answer.
+	Refused map[string]int `json:"refused"`
+
+	mu sync.Mutex
+}
+
+// Class counts the requests of one class.
+type Class struct {
+	Offered   int `json:"offered"`
+	Completed int `json:"completed"` // answered whole and correctly
+	NotRun    int `json:"not_run"`
+	Failed    int `json:"failed"`
+	Unknown   int `json:"unknown"`
+	Wrong     int `json:"wrong"` // answered, but not with the answer to the request
+	Sends     int `json:"sends"`
+
+	latencies []time.Duration // of completed requests
+}
+
+func newReport(d time.Duration) *Report {
+	return &Report{Seconds: d.Seconds(), Classes: map[string]*Class{}, Refused: map[string]int{}}
+}
+
+// sent counts the reply to one send.
+func (r *Report) sent(k Kind, rep reply) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.class(k).Sends++
+	if rep.outcome != request.Answered {
+		r.Refused[rep.reason]++
+	}
+}
+
+// add counts the final outcome of one request.
+func (r *Report) add(k Kind, rep reply, sends int, latency time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.class(k)
+	c.Offered++
+	switch {
+	case rep.wrong:
+		c.Wrong++
+	case rep.outcome == request.Answered:
+		c.Completed++
+		c.latencies = append(c.latencies, latency)
+	case rep.outcome == request.NotRun:
+		c.NotRun++
+	case rep.outcome == request.Failed:
+		c.Failed++
+	default:
+		c.Unknown++
+	}
+	if sends == 0 {
+		r.Refused[rep.reason]++
+	}
+}
+
+func (r *Report) class(k Kind) *Class {
+	c := r.Classes[k.Class]
+	if c == nil {
+		c = &Class{}
+		r.Classes[k.Class] = c
+	}
+	return c
+}
+
+// Goodput returns the completed requests of a class per second.
+func (r *Report) Goodput(class string) float64 {
+	c := r.Classes[class]
+	if c == nil || r.Seconds == 0 {
+		return 0
+	}
+	return float64(c.Completed) / r.Seconds
+}
+
+// Latency returns the given quantile, from 0 to 1, of the time until a request was completed, with its resends.
+func (c *Class) Latency(quantile float64) time.Duration {
+	if len(c.latencies) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(c.latencies))
+	return sorted[int(quantile*float64(len(sorted)-1))]
+}
+
+// Write prints the report for people.
+func (r *Report) Write(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "class\toffered\tcompleted\tgoodput/s\tnot_run\tfailed\tunknown\twrong\tresends\tp50\tp99\t")
+	for _, name := range r.names() {
+		c := r.Classes[name]
+		fmt.Fprintf(w, "%s\t%d\t%d\t%.1f\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t\n",
+			name, c.Offered, c.Completed, r.Goodput(name), c.NotRun, c.Failed, c.Unknown, c.Wrong, max(0, c.Sends-c.Offered),
+			c.Latency(0.5).Round(time.Millisecond/10), c.Latency(0.99).Round(time.Millisecond/10))
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	reasons := make([]string, 0, len(r.Refused))
+	for _, reason := range slices.Sorted(maps.Keys(r.Refused)) {
+		reasons = append(reasons, fmt.Sprintf("%s %d", reason, r.Refused[reason]))
+	}
+	if len(reasons) == 0 {
+		reasons = append(reasons, "none")
+	}
+	_, err := fmt.Fprintln(out, "sends without an answer, by reason: "+strings.Join(reasons, ", "))
+	return err
+}
+
+// names returns the classes in the order of importance, then others by name.
+func (r *Report) names() []string {
+	rank := func(name string) int {
+		if class, err := request.ParseClass(name); err == nil {
+			return int(class)
+		}
+		return request.ClassCount
+	}
+	names := slices.Sorted(maps.Keys(r.Classes))
+	slices.SortStableFunc(names, func(a, b string) int { return rank(a) - rank(b) })
+	return names
+}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -43,8 +43,8 @@
 	Metrics       http.Handler // Prometheus text
 }
 
-// maxDocumentBytes bounds a document; a template of 512 operations takes about 90 KiB.
-const maxDocumentBytes = 256 << 10
+// maxDocumentBytes is the bound of package template.
+const maxDocumentBytes = 64 << 10
 
 // New returns the handler of the operator listener.
 func New(s Settings) http.Handler {
--- a/settings/reader.go
+++ b/settings/reader.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"bytes"
 	"cmp"
 	"fmt"
 	"math"
@@ -55,13 +54,8 @@
 
 // add reports a problem at an offset of the file.
 func (r *reader) add(offset int, field, found, remedy string) {
-	before := r.data[:min(offset, len(r.data))]
-	r.problems = append(r.problems, Problem{
-		File:   r.file,
-		Line:   1 + bytes.Count(before, []byte("\n")),
-		Column: len(before) - bytes.LastIndexByte(before, '\n'),
-		Field:  field, Found: found, Remedy: remedy,
-	})
+	line, column := lineColumn(r.data, offset)
+	r.problems = append(r.problems, Problem{File: r.file, Line: line, Column: column, Field: field, Found: found, Remedy: remedy})
 }
 
 // result returns the problems in the order of the file, or nil.
