node: run the whole path of a call as one process beside each backend server

Cause: the decision packages had no shell, so no request could be served. Change: package node turns HTTP, gRPC and timers into events and carries out the actions; a withdrawal names the incarnation it is for, because a restarted node would otherwise claim that an attempt did not run; a closed connection counts as a crash of the backend server only if it refuses new ones, because the first version took a reset of one response for a crash; a call whose message was never handed to the transport is a refusal and not a loss.

--- a/cmd/sapphiretack/node.go
+++ b/cmd/sapphiretack/node.go
@@ -2,17 +2,53 @@
 
 import (
 	"context"
+	"os"
+	"time"
 
 	"github.com/integrii/flaggy"
+	"github.com/rs/zerolog"
 	"github.com/zeebo/errs"
 
+	"github.com/sapphiretack/sapphiretack/node"
+	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/settings"
+	"github.com/sapphiretack/sapphiretack/trace"
 )
 
 // runNode runs a node until the context ends and its requests in flight have ended.
-var runNode = func(_ context.Context, s settings.Settings) error {
-	return errs.New("instance %s: this build has no node", s.Instance.Name)
+func runNode(ctx context.Context, s settings.Settings) (err error) {
+	zerolog.SetGlobalLevel(s.Log.Level)
+	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
+	table, err := platform.NewClient(platform.Settings{URL: s.Platform.URL, Timeout: s.Platform.Timeout})
+	if err != nil {
+		return err
+	}
+	i := s.Instance
+	spans, err := trace.New(ctx, trace.Settings{
+		Exporter: trace.Exporter(s.Trace.Exporter),
+		Path:     s.Trace.File,
+		URL:      s.Trace.URL,
+		Ratio:    s.Trace.SampleRatio,
+	}, string(i.Name), string(i.Service), string(i.Zone))
+	if err != nil {
+		return err
+	}
+	defer func() { err = errs.Combine(err, closeSpans(ctx, spans)) }()
+	n, err := node.New(node.Dependencies{Settings: s, Log: log, Table: table, Spans: spans})
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
+
+// spanTimeout bounds the export of the last spans, so that a collector that is down does not hold up the stop.
+const spanTimeout = 2 * time.Second
+
+func closeSpans(ctx context.Context, spans *trace.Provider) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), spanTimeout)
+	defer cancel()
+	return spans.Close(ctx)
 }
 
 // nodeFlags say where the settings of a node are.
--- /dev/null
+++ b/node/backend.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/trace"
+)
+
+const (
+	// partSize bounds one part of a response; larger reads gain little over a 32 KiB copy.
+	partSize = 32 << 10
+	// backendIdleTimeout closes connections that the backend server may already have dropped.
+	backendIdleTimeout = 60 * time.Second
+	// notRunHeader is how a backend server that sheds load itself states that it did not run the request.
+	notRunHeader = "Sapphiretack-Not-Run"
+)
+
+// backend dispatches admitted attempts to the backend server beside the node.
+type backend struct {
+	url    *url.URL
+	client *http.Client
+}
+
+func newBackend(u *url.URL, connections int) *backend {
+	transport := &http.Transport{
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     backendIdleTimeout,
+		DisableCompression:  true,
+	}
+	return &backend{url: u, client: &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// dispatchResult says how a dispatch ended.
+type dispatchResult struct {
+	outcome request.Outcome
+	reason  request.Reason
+	parts   int
+}
+
+// partFunc receives the parts of a response; status and content type come with the first one.
+type partFunc func(index, status int, contentType string, data []byte) error
+
+// dispatch runs the execution on the backend server and passes the parts of its response on as they arrive.
+func (b *backend) dispatch(ctx context.Context, e *execution, body []byte, pass partFunc) dispatchResult {
+	target := b.url.JoinPath(string(e.operation))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return dispatchResult{outcome: request.NotRun, reason: request.Malformed}
+	}
+	// A body that can be read again would allow net/http to send the request twice.
+	r.GetBody = nil
+	setDispatchHeaders(ctx, r.Header, e)
+	response, err := b.client.Do(r)
+	if err != nil {
+		return dispatchFailure(ctx, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(notRunHeader) != "" {
+		return dispatchResult{outcome: request.NotRun, reason: request.Overloaded}
+	}
+	return streamResponse(ctx, response, pass)
+}
+
+func setDispatchHeaders(ctx context.Context, h http.Header, e *execution) {
+	h.Set(headerCall, e.token)
+	h.Set(headerRequestID, e.requestID.String())
+	h.Set(headerCustomer, string(e.customer))
+	if e.contentType != "" {
+		h.Set("Content-Type", e.contentType)
+	}
+	if e.effect != "" {
+		h.Set(headerEffect, e.effect)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		h.Set(headerTimeout, formatMilliseconds(time.Until(deadline)))
+	}
+	if traceparent := trace.Inject(ctx); traceparent != "" {
+		h.Set(trace.Header, traceparent)
+	}
+}
+
+func streamResponse(ctx context.Context, response *http.Response, pass partFunc) dispatchResult {
+	contentType := response.Header.Get("Content-Type")
+	buffer := make([]byte, partSize)
+	parts := 0
+	for {
+		n, err := response.Body.Read(buffer)
+		if n > 0 || (parts == 0 && errors.Is(err, io.EOF)) {
+			if err := pass(parts, response.StatusCode, contentType, buffer[:n]); err != nil {
+				return dispatchResult{outcome: request.Unknown, reason: request.CallerGone, parts: parts}
+			}
+			parts++
+		}
+		switch {
+		case err == nil:
+			continue
+		case !errors.Is(err, io.EOF):
+			result := dispatchFailure(ctx, err)
+			result.outcome = request.Unknown
+			result.parts = parts
+			return result
+		case response.StatusCode >= http.StatusInternalServerError:
+			return dispatchResult{outcome: request.Failed, reason: request.BackendError, parts: parts}
+		}
+		return dispatchResult{outcome: request.Answered, parts: parts}
+	}
+}
+
+// dispatchFailure classifies a transport error; only an error before a connection existed proves that nothing ran.
+func dispatchFailure(ctx context.Context, err error) dispatchResult {
+	var opError *net.OpError
+	if errors.As(err, &opError) && opError.Op == "dial" {
+		return dispatchResult{outcome: request.NotRun, reason: request.BackendCrashed}
+	}
+	if ctx.Err() != nil {
+		reason := request.CallerGone
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			reason = request.DeadlineExceeded
+		}
+		return dispatchResult{outcome: request.Unknown, reason: reason}
+	}
+	if isCrash(err) {
+		return dispatchResult{outcome: request.Unknown, reason: request.BackendCrashed}
+	}
+	return dispatchResult{outcome: request.Unknown, reason: request.ConnectionLost}
+}
+
+// isCrash reports whether the backend server closed the connection in mid-request.
+func isCrash(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) ||
+		strings.Contains(err.Error(), "server closed idle connection")
+}
--- /dev/null
+++ b/node/execution.go
@@ -0,0 +1,103 @@
+package node
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"github.com/sapphiretack/sapphiretack/budget"
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+// execution is a request that runs on the backend server beside the node. The backend server names it by its token
+// in nested calls, so that it can raise neither the priority nor the budget.
+type execution struct {
+	token       string
+	requestID   request.ID
+	customer    request.CustomerID
+	service     request.ServiceID
+	operation   request.Operation
+	contentType string
+	traceparent string
+	priority    request.Priority
+	deadline    request.Instant
+	idempotent  bool
+	effect      string
+	depth       uint32
+
+	mu          sync.Mutex
+	account     budget.Account
+	nested      int             // nested calls in flight
+	nestedSince request.Instant // when nested last became 1
+	nestedTime  time.Duration   // total time with a nested call in flight
+	path        pathLevel
+}
+
+// pathLevel is the lowest admission level seen on a path, and the service that reported it.
+type pathLevel struct {
+	level   request.Priority
+	service request.ServiceID
+}
+
+// beginNested notes that a nested call starts.
+func (e *execution) beginNested(now request.Instant) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.nested == 0 {
+		e.nestedSince = now
+	}
+	e.nested++
+}
+
+// endNested notes that a nested call ended and the level that its path reported.
+func (e *execution) endNested(now request.Instant, path pathLevel) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.nested--
+	if e.nested == 0 {
+		e.nestedTime += now.Sub(e.nestedSince)
+	}
+	if path.service != "" && (e.path.service == "" || path.level < e.path.level) {
+		e.path = path
+	}
+}
+
+// executions is the table of requests that run on the backend server, by token.
+type executions struct {
+	mu      sync.Mutex
+	byToken map[string]*execution
+}
+
+func newExecutions() *executions { return &executions{byToken: map[string]*execution{}} }
+
+// add gives the execution a token that callers cannot guess, and enters it.
+func (x *executions) add(e *execution) {
+	var token [16]byte
+	// crypto/rand.Read never fails since Go 1.24.
+	_, _ = rand.Read(token[:])
+	e.token = hex.EncodeToString(token[:])
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.byToken[e.token] = e
+}
+
+func (x *executions) remove(e *execution) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.byToken, e.token)
+}
+
+func (x *executions) find(token string) (*execution, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	e, ok := x.byToken[token]
+	return e, ok
+}
+
+// count returns the number of executions.
+func (x *executions) count() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return len(x.byToken)
+}
--- /dev/null
+++ b/node/fleet_test.go
@@ -0,0 +1,423 @@
+package node_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphiretack/sapphiretack/node"
+	"github.com/sapphiretack/sapphiretack/platform"
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/settings"
+	"github.com/sapphiretack/sapphiretack/trace"
+)
+
+// waitLimit only bounds a test that fails; no check depends on how long a step takes.
+const waitLimit = 30 * time.Second
+
+// fleet is a set of nodes in one process, each with a fake backend server, on loopback listeners.
+type fleet struct {
+	t         *testing.T
+	platform  *platform.Fake
+	instances map[string]*instance
+	group     errgroup.Group
+	tickets   map[string]string
+	record    record
+}
+
+// instance is one node with its backend server.
+type instance struct {
+	settings  settings.Settings
+	listeners map[string]net.Listener
+	backend   *backendServer
+	stop      context.CancelFunc
+	done      chan struct{}
+}
+
+// record counts the executions on all backend servers.
+type record struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (r *record) add(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts[name]++
+}
+
+// Guards against parts that work alone and not together: routing, nested calls, streaming, tickets, forwarding, claims,
+// crashes, configuration and the planned stop, over real connections.
+func TestFleet(t *testing.T) {
+	datadriven.Walk(t, "testdata/fleet", func(t *testing.T, path string) {
+		f := &fleet{
+			t:         t,
+			platform:  platform.NewFake(),
+			instances: map[string]*instance{},
+			tickets:   map[string]string{},
+			record:    record{counts: map[string]int{}},
+		}
+		defer f.close()
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "start":
+				return f.start(d)
+			case "configure":
+				return f.configure(d)
+			case "session":
+				return f.session(d)
+			case "call":
+				return f.call(d)
+			case "executions":
+				return f.executions()
+			case "restart":
+				return f.restart()
+			case "stop":
+				return f.stop(d)
+			}
+			return "unknown command " + d.Cmd
+		})
+	})
+}
+
+func arg(d *datadriven.TestData, key string) string {
+	for _, a := range d.CmdArgs {
+		if a.Key == key && len(a.Vals) > 0 {
+			return a.Vals[0]
+		}
+	}
+	return ""
+}
+
+// start reads lines "instance service zone" and starts them all.
+func (f *fleet) start(d *datadriven.TestData) string {
+	var names []string
+	for line := range strings.Lines(d.Input) {
+		fields := strings.Fields(line)
+		f.prepare(fields[0], fields[1], fields[2])
+		names = append(names, fields[0])
+	}
+	for _, name := range names {
+		f.run(f.instances[name])
+	}
+	for _, name := range names {
+		f.waitUntil(name+" knows all members", func() bool {
+			metrics := f.get(name, "/metrics")
+			return strings.Contains(metrics, fmt.Sprintf("sapphiretack_members %d\n", len(f.instances)))
+		})
+		f.waitUntil(name+" is ready", func() bool { return strings.Contains(f.get(name, "/ready"), `"ready"`) })
+	}
+	return "ready"
+}
+
+func (f *fleet) prepare(name, service, zone string) {
+	in := &instance{listeners: map[string]net.Listener{}, done: make(chan struct{})}
+	address := map[string]netip.AddrPort{}
+	for _, field := range []string{"caller", "peer", "loopback", "operator"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		address[field] = l.Addr().(*net.TCPAddr).AddrPort()
+		in.listeners[address[field].String()] = l
+	}
+	in.backend = &backendServer{record: &f.record, loopback: "http://" + address["loopback"].String(), service: service, address: "127.0.0.1:0"}
+	in.backend.start(f.t)
+	var seeds []netip.AddrPort
+	for _, other := range f.instances {
+		seeds = append(seeds, other.settings.Listeners.Peer)
+	}
+	slices.SortFunc(seeds, netip.AddrPort.Compare)
+	in.settings = settings.Settings{
+		Instance: settings.Instance{Name: request.InstanceID(name), Service: request.ServiceID(service), Zone: request.ZoneID(zone), Region: "region"},
+		Listeners: settings.Listeners{
+			Caller: address["caller"], Peer: address["peer"], Loopback: address["loopback"], Operator: address["operator"],
+			AdvertisedPeer: address["peer"],
+		},
+		Backend:  settings.Backend{URL: "http://" + in.backend.address, Slots: 8, Connections: 64, HealthPath: "/health"},
+		Platform: settings.Platform{Timeout: waitLimit},
+		Seeds:    seeds,
+		Limits:   settings.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 16, PartBytes: 1 << 20, Streams: 100, Tickets: 64},
+		Timeouts: settings.Timeouts{Header: waitLimit, Body: waitLimit, Idle: waitLimit},
+		Stop:     waitLimit,
+	}
+	f.instances[name] = in
+}
+
+func (f *fleet) run(in *instance) {
+	spans, err := trace.New(context.Background(), trace.Settings{Exporter: trace.None}, "", "", "")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n, err := node.New(node.Dependencies{
+		Settings: in.settings,
+		Log:      zerolog.Nop(),
+		Table:    f.platform,
+		Spans:    spans,
+		Listen: func(_, address string) (net.Listener, error) {
+			return in.listeners[address], nil
+		},
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	in.stop = cancel
+	f.group.Go(func() error {
+		defer close(in.done)
+		return n.Run(ctx)
+	})
+}
+
+func (f *fleet) waitUntil(what string, holds func() bool) {
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	f.t.Fatalf("%s: not within %v", what, waitLimit)
+}
+
+func (f *fleet) get(name, path string) string {
+	response, err := http.Get("http://" + f.instances[name].settings.Listeners.Operator.String() + path)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return string(body)
+}
+
+// configure commits the document at one node and waits until all nodes have it in force.
+func (f *fleet) configure(d *datadriven.TestData) string {
+	at := f.instances[arg(d, "at")].settings.Listeners.Operator.String()
+	url := fmt.Sprintf("http://%s/v1/%s/%s?revision=%s&change=%s", at, arg(d, "kind"), arg(d, "name"), arg(d, "revision"), arg(d, "change"))
+	r, _ := http.NewRequest(http.MethodPut, url, strings.NewReader(d.Input))
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(response.Body)
+		return string(body)
+	}
+	for name := range f.instances {
+		f.waitUntil(name+" has the version", func() bool {
+			return strings.Contains(f.get(name, "/metrics"), "sapphiretack_configuration_version "+arg(d, "version")+"\n")
+		})
+	}
+	return "in force at version " + arg(d, "version")
+}
+
+func (f *fleet) session(d *datadriven.TestData) string {
+	r, _ := http.NewRequest(http.MethodPost, f.callerURL(d)+"/session", nil)
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	_, rest, _ := strings.Cut(string(body), `"ticket":"`)
+	ticket, _, _ := strings.Cut(rest, `"`)
+	f.tickets[arg(d, "as")] = ticket
+	return response.Status
+}
+
+func (f *fleet) callerURL(d *datadriven.TestData) string {
+	return "http://" + f.instances[arg(d, "at")].settings.Listeners.Caller.String()
+}
+
+// call sends one call; its headers are the arguments, its body is the input.
+func (f *fleet) call(d *datadriven.TestData) string {
+	r, _ := http.NewRequest(http.MethodPost, f.callerURL(d)+"/call/"+arg(d, "to"), bytes.NewBufferString(d.Input))
+	r.Header.Set("Sapphiretack-Customer", arg(d, "customer"))
+	for header, key := range map[string]string{
+		"Sapphiretack-Sequence": "sequence", "Sapphiretack-Attempt": "attempt", "Sapphiretack-Request-Id": "id",
+		"Sapphiretack-Idempotency-Key": "key", "Sapphiretack-Timeout-Ms": "timeout",
+	} {
+		if v := arg(d, key); v != "" {
+			r.Header.Set(header, v)
+		}
+	}
+	if t := arg(d, "ticket"); t != "" {
+		r.Header.Set("Sapphiretack-Ticket", f.tickets[t])
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err.Error()
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "cut"
+	}
+	if o := response.Trailer.Get("Sapphiretack-Outcome"); o != "" {
+		return fmt.Sprintf("%d %s: %s", response.StatusCode, o, body)
+	}
+	return fmt.Sprintf("%d %s: %s", response.StatusCode, response.Header.Get("Sapphiretack-Outcome"), field(string(body), "reason"))
+}
+
+func field(body, name string) string {
+	_, rest, _ := strings.Cut(body, `"`+name+`":"`)
+	value, _, _ := strings.Cut(rest, `"`)
+	return value
+}
+
+func (f *fleet) executions() string {
+	f.record.mu.Lock()
+	defer f.record.mu.Unlock()
+	var lines []string
+	for name, n := range f.record.counts {
+		lines = append(lines, fmt.Sprintf("%s %d", name, n))
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "\n")
+}
+
+// restart starts the backend servers that crashed, and waits until their nodes have seen it.
+func (f *fleet) restart() string {
+	var lines []string
+	for name, in := range f.instances {
+		if !in.backend.crashed.Swap(false) {
+			continue
+		}
+		in.backend.start(f.t)
+		f.waitUntil(name+" is ready again", func() bool { return strings.Contains(f.get(name, "/ready"), `"ready"`) })
+		lines = append(lines, name)
+	}
+	return fmt.Sprintf("%d restarted", len(lines))
+}
+
+// stop ends one node gracefully, with a call in flight if the arguments name one.
+func (f *fleet) stop(d *datadriven.TestData) string {
+	in := f.instances[arg(d, "instance")]
+	result := make(chan string, 1)
+	if arg(d, "to") != "" {
+		f.group.Go(func() error {
+			result <- f.call(d)
+			return nil
+		})
+		f.waitUntil("the call runs", func() bool {
+			f.record.mu.Lock()
+			defer f.record.mu.Unlock()
+			return f.record.counts[arg(d, "until")] > 0
+		})
+	} else {
+		result <- "stopped"
+	}
+	in.stop()
+	<-in.done
+	delete(f.instances, arg(d, "instance"))
+	return <-result
+}
+
+func (f *fleet) close() {
+	for _, in := range f.instances {
+		in.stop()
+	}
+	if err := f.group.Wait(); err != nil {
+		f.t.Error(err)
+	}
+	for _, in := range f.instances {
+		in.backend.server.Close()
+	}
+}
+
+// backendServer is a fake backend server whose behavior follows from the name of the operation.
+type backendServer struct {
+	record   *record
+	loopback string
+	service  string
+	address  string
+	server   *httptest.Server
+	crashed  atomic.Bool
+	listener atomic.Pointer[net.Listener]
+}
+
+// start listens at the address of the former run, if there was one.
+func (b *backendServer) start(t *testing.T) {
+	l, err := net.Listen("tcp", b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.address = l.Addr().String()
+	b.listener.Store(&l)
+	b.server = httptest.NewUnstartedServer(b)
+	_ = b.server.Listener.Close()
+	b.server.Listener = l
+	b.server.Start()
+}
+
+// crash refuses new connections before it resets the present ones, as the end of a process does.
+func (b *backendServer) crash() {
+	b.crashed.Store(true)
+	_ = (*b.listener.Load()).Close()
+	panic(http.ErrAbortHandler)
+}
+
+func (b *backendServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		return
+	}
+	op := strings.TrimPrefix(r.URL.Path, "/")
+	body, _ := io.ReadAll(r.Body)
+	b.record.add(strings.TrimSpace(b.service + "/" + op + " " + string(body)))
+	switch op {
+	case "look-up", "transfer":
+		fmt.Fprint(w, "done")
+	case "archive":
+		for i := range 3 {
+			fmt.Fprintf(w, "part %d ", i)
+			_ = http.NewResponseController(w).Flush()
+		}
+	case "cut":
+		fmt.Fprint(w, "begin")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case "fail":
+		http.Error(w, "no such bird", http.StatusInternalServerError)
+	case "crash":
+		b.crash()
+	case "slow":
+		time.Sleep(300 * time.Millisecond)
+		fmt.Fprint(w, "finished")
+	case "nested", "register":
+		b.nested(w, r, body)
+	}
+}
+
+// nested calls an operation of another service through the loopback listener of the node, twice with the same step.
+func (b *backendServer) nested(w http.ResponseWriter, r *http.Request, body []byte) {
+	for range 2 {
+		call, _ := http.NewRequest(http.MethodPost, b.loopback+"/call/transfers/transfer", bytes.NewReader(body))
+		call.Header.Set("Sapphiretack-Call", r.Header.Get("Sapphiretack-Call"))
+		call.Header.Set("Sapphiretack-Step", "1")
+		response, err := http.DefaultClient.Do(call)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		answer, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			answer = []byte(field(string(answer), "reason"))
+		}
+		fmt.Fprintf(w, "nested %d %s; ", response.StatusCode, answer)
+	}
+}
--- /dev/null
+++ b/node/loopback.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sapphiretack/sapphiretack/call"
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/session"
+	"github.com/sapphiretack/sapphiretack/trace"
+)
+
+// maxDepth bounds the depth of a call graph; the design expects up to 22 hops, and a deeper graph is a cycle.
+const maxDepth = 64
+
+// loopbackHandler serves the backend server beside the node: this node is the source of its nested calls.
+func (n *Node) loopbackHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /call/{service}/{operation}", n.serveNested)
+	return mux
+}
+
+func (n *Node) serveNested(w http.ResponseWriter, r *http.Request) {
+	parent, ok := n.executions.find(r.Header.Get(headerCall))
+	if !ok {
+		writeMalformed(w, MalformedError.New("header %s names no running request; copy it from the request that is being served", headerCall))
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(n.settings.Limits.BodyBytes)))
+	if err != nil {
+		writeBodyError(w, err)
+		return
+	}
+	timeout, err := parseNumber(r.Header, headerTimeout, uint64(maxTimeout/time.Millisecond))
+	if err != nil {
+		writeMalformed(w, err)
+		return
+	}
+	position, err := parseNumber(r.Header, headerStep, 1<<32)
+	if err != nil {
+		writeMalformed(w, err)
+		return
+	}
+	out, reason := n.nestedCall(parent, r, body, time.Duration(timeout)*time.Millisecond)
+	if reason != request.NoReason {
+		writeNotRun(w, reason)
+		return
+	}
+	traceparent := r.Header.Get(trace.Header)
+	if traceparent == "" {
+		traceparent = parent.traceparent
+	}
+	ctx := trace.Extract(r.Context(), traceparent)
+	reply := &httpReply{w: w, requestID: parent.requestID, priority: parent.priority, service: out.plan.Service}
+	parent.beginNested(n.clock.now())
+	res := n.runNested(ctx, parent, out, request.Sequence(position), reply)
+	parent.endNested(n.clock.now(), res.path)
+	reply.end(res)
+}
+
+// nestedCall takes priority, deadline and identity from the parent, so that a backend server cannot raise them.
+func (n *Node) nestedCall(parent *execution, r *http.Request, body []byte, timeout time.Duration) (outgoing, request.Reason) {
+	service := request.ServiceID(r.PathValue("service"))
+	op := request.Operation(r.PathValue("operation"))
+	if parent.depth >= maxDepth {
+		return outgoing{}, request.LimitReached
+	}
+	policy, reason := n.policy(parent.customer, service, op)
+	if reason != request.NoReason {
+		return outgoing{}, reason
+	}
+	now := n.clock.now()
+	deadline := min(parent.deadline, now.Add(policy.Timeout))
+	if timeout > 0 {
+		deadline = min(deadline, now.Add(timeout))
+	}
+	return outgoing{
+		plan: call.Plan{
+			Service:     service,
+			Operation:   op,
+			Priority:    parent.priority,
+			Fingerprint: request.FingerprintOf(parent.customer, service, op, body),
+			Deadline:    deadline,
+			Idempotent:  policy.Idempotent,
+		},
+		requestID:   parent.requestID,
+		customer:    parent.customer,
+		body:        body,
+		contentType: r.Header.Get(headerContentType),
+		depth:       parent.depth + 1,
+	}, request.NoReason
+}
+
+func (n *Node) runNested(ctx context.Context, parent *execution, out outgoing, position request.Sequence, r reply) result {
+	account := sharedAccount{mu: &parent.mu, account: &parent.account}
+	if out.plan.Idempotent {
+		return n.converse(ctx, out, account, r)
+	}
+	if parent.idempotent || parent.effect == "" {
+		return result{outcome: request.NotRun, reason: request.NestedEffect}
+	}
+	effect, err := session.ParseEffect(parent.effect)
+	if err != nil || position == 0 {
+		return result{outcome: request.NotRun, reason: request.Malformed}
+	}
+	c := effectCall{out: out, account: account, limit: out.plan.Deadline.Sub(n.clock.now()) + call.WithdrawWait}
+	return n.runEffect(ctx, c, r, func(table *session.Sessions, w session.Waiter) session.Decision {
+		return table.BeginNested(session.NestedSend{
+			Parent:      effect,
+			Position:    position,
+			Fingerprint: out.plan.Fingerprint,
+			Waiter:      w,
+		})
+	})
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/sapphiretack/sapphiretack/peer"
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+const (
+	// peerIdleTimeout closes connections to peers outside the subset that were used for a while only.
+	peerIdleTimeout = 5 * time.Minute
+	// keepaliveInterval finds a peer that froze or was cut off without closing its connections.
+	keepaliveInterval = 10 * time.Second
+	keepaliveTimeout  = 3 * time.Second
+	reconnectDelay    = 50 * time.Millisecond
+	reconnectMaximum  = 2 * time.Second
+	connectTimeout    = time.Second
+)
+
+// peers holds one gRPC connection for each peer address.
+type peers struct {
+	credentials grpc.DialOption
+	control     atomic.Uint64 // bytes
+
+	mu          sync.Mutex
+	connections map[string]*grpc.ClientConn
+}
+
+func newPeers() *peers {
+	return &peers{
+		credentials: grpc.WithTransportCredentials(insecure.NewCredentials()),
+		connections: map[string]*grpc.ClientConn{},
+	}
+}
+
+// client returns the client for an address; the connection is made on first use.
+func (p *peers) client(address string) (peer.PeerClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.connections[address]; ok {
+		return peer.NewPeerClient(c), nil
+	}
+	// The passthrough scheme keeps gRPC from resolving names: peers have IP addresses only.
+	c, err := grpc.NewClient("passthrough:///"+address,
+		p.credentials,
+		grpc.WithDisableRetry(), // the request's budget decides on retries
+		grpc.WithDisableServiceConfig(),
+		grpc.WithIdleTimeout(peerIdleTimeout),
+		grpc.WithStatsHandler(deliveryHandler{control: &p.control}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: reconnectDelay, Multiplier: 2, Jitter: 0.2, MaxDelay: reconnectMaximum},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxPeerMessage), grpc.MaxCallSendMsgSize(maxPeerMessage)),
+	)
+	if err != nil {
+		return nil, Error.New("peer address %q: %v; advertise an IP address and port", address, err)
+	}
+	p.connections[address] = c
+	return peer.NewPeerClient(c), nil
+}
+
+// forget closes the connections to addresses that keep does not contain.
+func (p *peers) forget(keep map[string]struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, c := range p.connections {
+		if _, ok := keep[address]; !ok {
+			_ = c.Close()
+			delete(p.connections, address)
+		}
+	}
+}
+
+// controlBytes returns the bytes of control messages that were sent since the start, without protocol headers.
+func (p *peers) controlBytes() uint64 { return p.control.Load() }
+
+func (p *peers) close() {
+	p.forget(nil)
+}
+
+func attemptMessage(a request.AttemptID) *peer.AttemptID {
+	return &peer.AttemptID{Source: uint64(a.Source), Number: a.Number}
+}
+
+func attemptID(a *peer.AttemptID) request.AttemptID {
+	return request.AttemptID{Source: request.Incarnation(a.GetSource()), Number: a.GetNumber()}
+}
