--- a/settings/read.go
+++ b/settings/read.go
@@ -171,6 +171,9 @@
 	var p Platform
 	if o.required("url", `write the URL of the table service, such as "http://10.20.0.5:7300"`) {
 		if u := o.httpURL("url"); u != nil {
+			if strings.Trim(u.Path, "/") != "" {
+				o.add("url", fmt.Sprintf("found %q", u), "remove the path; the platform's protocol has its own paths")
+			}
 			p.URL = strings.TrimSuffix(u.String(), "/")
 		}
 	}
