node: let a node that restarts without the platform hear of its peers' versions

Cause: members reached the configuration poller only once the node was ready, so a node that started with the platform down heard of no version after the first 400 ms and never became ready. The process test platform_down_restart found it. Change: members are passed on after the first exchange with the seeds.

--- a/node/configure.go
+++ b/node/configure.go
@@ -46,6 +46,7 @@
 	n.members.handle(member.Bootstrap{Rows: seeds})
 	// Peers that answer the first messages count for the start rule.
 	sleep(ctx, joinTime)
+	n.introduced.Store(true)
 	n.pollMembers(n.members.list())
 	for {
 		err := n.withTimeout(ctx, n.exchangeRows)
--- a/node/members.go
+++ b/node/members.go
@@ -217,7 +217,7 @@
 	}
 	n.routes.update(func(t *route.Table) { t.Update(routed) })
 	n.metrics.members.Update(int64(len(list)))
-	if n.joined.Load() {
+	if n.introduced.Load() {
 		n.pollMembers(list)
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -83,7 +83,9 @@
 	open     atomic.Int64 // requests of callers
 	isLeft   atomic.Bool  // set when the departure begins
 	joined   atomic.Bool  // set when the configuration is known
-	inFlight errgroup.Group
+	// introduced is set when the first exchange with the seeds had time to end; the start rule counts the peers from then on.
+	introduced atomic.Bool
+	inFlight   errgroup.Group
 }
 
 // New returns a node that has not started; the error names the setting to correct.
