node: refuse slow, oversized and malformed input, and let a lone node route

Cause: a body that was announced as too large waited for the body timeout; a node without peers never learnt its own place in the route table. Change: the announced length is checked first; the route table is filled after the first exchange with the seeds.

--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -24,7 +24,7 @@
 // of another service and the node beside the backend server. It reports the time at p50 and p99 and the processor time of
 // the whole process per call, callers and backend server included.
 func BenchmarkPath(b *testing.B) {
-	f := &fleet{t: b, platform: platform.NewFake(), instances: map[string]*instance{}, tickets: map[string]string{}, record: record{counts: map[string]int{}}}
+	f := &fleet{t: b, platform: platform.NewFake(), instances: map[string]*instance{}, tickets: map[string]string{}, record: record{counts: map[string]int{}}, inputTimeout: waitLimit}
 	defer f.close()
 	f.prepare("registry-1", "registry", "a")
 	f.prepare("transfers-1", "transfers", "a")
--- a/node/caller.go
+++ b/node/caller.go
@@ -139,12 +139,16 @@
 
 // readBody reads the whole body within the bounds on its size and on the time that a slow caller may take.
 func (n *Node) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	limit := int64(n.settings.Limits.BodyBytes)
+	if r.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
 	controller := http.NewResponseController(w)
 	// The deadline is lifted after the body: it would otherwise end the response.
 	if err := controller.SetReadDeadline(time.Now().Add(n.settings.Timeouts.Body)); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(n.settings.Limits.BodyBytes)))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
 		return nil, err
 	}
--- a/node/configure.go
+++ b/node/configure.go
@@ -47,7 +47,7 @@
 	// Peers that answer the first messages count for the start rule.
 	sleep(ctx, joinTime)
 	n.introduced.Store(true)
-	n.pollMembers(n.members.list())
+	n.membersChanged()
 	for {
 		err := n.withTimeout(ctx, n.exchangeRows)
 		if err == nil {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -38,6 +39,8 @@
 	group     errgroup.Group
 	tickets   map[string]string
 	record    record
+	// inputTimeout bounds slow callers.
+	inputTimeout time.Duration
 }
 
 // instance is one node with its backend server.
@@ -71,11 +74,16 @@
 			instances: map[string]*instance{},
 			tickets:   map[string]string{},
 			record:    record{counts: map[string]int{}},
+
+			inputTimeout: waitLimit,
 		}
 		defer f.close()
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "start":
+				if v := arg(d, "input-timeout"); v != "" {
+					f.inputTimeout, _ = time.ParseDuration(v)
+				}
 				return f.start(d)
 			case "configure":
 				return f.configure(d)
@@ -87,6 +95,8 @@
 				return f.executions()
 			case "restart":
 				return f.restart()
+			case "raw":
+				return f.raw(d)
 			case "stop":
 				return f.stop(d)
 			}
@@ -157,7 +167,7 @@
 		Platform: settings.Platform{Timeout: waitLimit},
 		Seeds:    seeds,
 		Limits:   settings.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 16, PartBytes: 1 << 20, Streams: 100, Tickets: 64},
-		Timeouts: settings.Timeouts{Header: waitLimit, Body: waitLimit, Idle: waitLimit},
+		Timeouts: settings.Timeouts{Header: f.inputTimeout, Body: f.inputTimeout, Idle: f.inputTimeout},
 		Stop:     waitLimit,
 	}
 	f.instances[name] = in
@@ -297,6 +307,39 @@
 	return strings.Join(lines, "\n")
 }
 
+// raw sends the input as it is, with \r\n line ends and the repetition of a byte that "repeat" asks for, closes the sending
+// side if "half-close" is given, and returns the status line of the response.
+func (f *fleet) raw(d *datadriven.TestData) string {
+	c, err := net.Dial("tcp", f.instances[arg(d, "at")].settings.Listeners.Caller.String())
+	if err != nil {
+		return err.Error()
+	}
+	defer c.Close()
+	input := strings.ReplaceAll(d.Input, "\n", "\r\n")
+	if n := arg(d, "repeat"); n != "" {
+		count, _ := strconv.Atoi(n)
+		input = strings.ReplaceAll(input, "REPEAT", strings.Repeat("x", count))
+	}
+	if whole, cut := strings.CutSuffix(input, "END"); cut {
+		input = whole
+	} else {
+		input += "\r\n\r\n" + arg(d, "body")
+	}
+	if _, err := io.WriteString(c, input); err != nil {
+		return err.Error()
+	}
+	if d.HasArg("half-close") {
+		_ = c.(*net.TCPConn).CloseWrite()
+	}
+	_ = c.SetReadDeadline(time.Now().Add(waitLimit))
+	data, err := io.ReadAll(c)
+	line, _, _ := strings.Cut(string(data), "\r\n")
+	if err != nil || line == "" {
+		return fmt.Sprintf("closed, error %v", err)
+	}
+	return line + " " + field(string(data), "reason")
+}
+
 // restart starts the backend servers that crashed, and waits until their nodes have seen it.
 func (f *fleet) restart() string {
 	var lines []string
