--- a/node/node.go
+++ b/node/node.go
@@ -83,7 +83,9 @@
 	open     atomic.Int64 // requests of callers
 	isLeft   atomic.Bool  // set when the departure begins
 	joined   atomic.Bool  // set when the configuration is known
-	inFlight errgroup.Group
+	// introduced is set when the first exchange with the seeds had time to end; the start rule counts the peers from then on.
+	introduced atomic.Bool
+	inFlight   errgroup.Group
 }
 
 // New returns a node that has not started; the error names the setting to correct.
@@ -122,7 +124,7 @@
 	}
 	routing := route.DefaultSettings(i.Name, i.Zone, i.Region)
 	routing.Connections = d.Settings.Backend.Connections
-	n.routes = &routes{table: route.New(routing, newRandom())}
+	n.routes = &routes{table: route.New(routing, newRandom()), limiting: map[operationKey]request.ServiceID{}}
 	n.sessions = &sessions{
 		table: session.New(session.Settings{
 			Instance:         i.Name,
