--- a/node/caller.go
+++ b/node/caller.go
@@ -141,6 +141,8 @@
 func (n *Node) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	limit := int64(n.settings.Limits.BodyBytes)
 	if r.ContentLength > limit {
+		// Without this, the server would wait for the rest of the body before it sends the response.
+		w.Header().Set("Connection", "close")
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
 	controller := http.NewResponseController(w)
