--- a/route/command.go
+++ b/route/command.go
@@ -15,7 +15,7 @@
 	services  map[request.ServiceID]*service
 	paths     map[path]*pathLevel
 	// Space for Pick, so that it does not allocate.
-	accepted []*instance
+	accepted, crowded []*instance
 }
 
 // service holds the chosen subset of one service, by distance.
--- a/route/query.go
+++ b/route/query.go
@@ -15,14 +15,23 @@
 	if s == nil {
 		return Choice{RetryAfter: t.settings.BrokenMax}, NoInstance
 	}
-	f := filter{now: now, priority: p, excluded: excluded, reportLife: request.Instant(t.settings.ReportLife)}
-	if in := t.pickTier(s, &f, true); in != nil {
-		return in.choice(), Picked
+	f := filter{
+		now:         now,
+		priority:    p,
+		excluded:    excluded,
+		reportLife:  request.Instant(t.settings.ReportLife),
+		availableAt: now.Add(t.settings.BrokenMax),
+	}
+	t.crowded = t.crowded[:0]
+	for _, instances := range s.tiers {
+		if in := t.pickTwo(instances, &f); in != nil {
+			return in.choice(), Picked
+		}
 	}
-	if in := t.pickTier(s, &f, false); in != nil {
-		return in.choice(), Picked
+	if len(t.crowded) > 0 {
+		return f.lessLoaded(t.drawTwo(t.crowded)).choice(), Picked
 	}
-	return s.unavailable(&f, &t.settings)
+	return Choice{RetryAfter: f.availableAt.Sub(now)}, f.verdict
 }
 
 // Subset returns the instances of a service that the source connects to, nearest first.
@@ -40,36 +49,38 @@
 	return out
 }
 
-func (t *Table) pickTier(s *service, f *filter, needRoom bool) *instance {
-	for _, instances := range s.tiers {
-		if in := t.pickTwo(instances, f, needRoom); in != nil {
-			return in
-		}
-	}
-	return nil
-}
-
-// pickTwo returns the less loaded of two different random instances that pass the filter.
-func (t *Table) pickTwo(instances []*instance, f *filter, needRoom bool) *instance {
-	n := len(instances)
-	if n == 0 {
+// pickTwo returns the less loaded of two different random instances that are usable and have room.
+func (t *Table) pickTwo(instances []*instance, f *filter) *instance {
+	if len(instances) == 0 {
 		return nil
 	}
 	// Mostly all instances pass, and the first draw avoids looking at each of them.
 	a, b := t.drawTwo(instances)
-	if f.accepts(a, needRoom) && f.accepts(b, needRoom) {
+	if f.isRoomy(a) && f.isRoomy(b) {
 		return f.lessLoaded(a, b)
 	}
+	t.scan(instances, f)
+	if len(t.accepted) == 0 {
+		return nil
+	}
+	return f.lessLoaded(t.drawTwo(t.accepted))
+}
+
+// scan collects the instances with room, and the full ones of the nearest tier that has usable ones.
+func (t *Table) scan(instances []*instance, f *filter) {
 	t.accepted = t.accepted[:0]
+	collect := len(t.crowded) == 0
 	for _, in := range instances {
-		if f.accepts(in, needRoom) {
+		switch {
+		case f.isExcluded(in):
+		case !f.isUsable(in):
+			f.noteUnusable(in)
+		case !f.isFull(in):
 			t.accepted = append(t.accepted, in)
+		case collect:
+			t.crowded = append(t.crowded, in)
 		}
 	}
-	if len(t.accepted) == 0 {
-		return nil
-	}
-	return f.lessLoaded(t.drawTwo(t.accepted))
 }
 
 // drawTwo returns two different random instances, or the only one twice.
@@ -83,19 +94,36 @@
 	return instances[first], instances[second%n]
 }
 
-// filter tells which instances an attempt may go to.
+// filter tells which instances an attempt may go to, and notes why it found none.
 type filter struct {
 	now        request.Instant
 	priority   request.Priority
 	excluded   []request.InstanceID
 	reportLife request.Instant
+
+	verdict     Verdict
+	availableAt request.Instant
+}
+
+func (f *filter) isRoomy(in *instance) bool {
+	return f.isUsable(in) && !f.isExcluded(in) && !f.isFull(in)
+}
+
+func (f *filter) isExcluded(in *instance) bool {
+	return slices.Contains(f.excluded, in.member.Instance)
+}
+
+// isUsable reports whether the instance is neither broken nor refuses the priority.
+func (f *filter) isUsable(in *instance) bool {
+	return in.brokenUntil <= f.now && in.refusedUntil(f) <= f.now
 }
 
-func (f *filter) accepts(in *instance, needRoom bool) bool {
-	return in.brokenUntil <= f.now &&
-		!slices.Contains(f.excluded, in.member.Instance) &&
-		in.refusedUntil(f) <= f.now &&
-		!(needRoom && f.isFull(in))
+// noteUnusable notes when an instance that is not usable may be available.
+func (f *filter) noteUnusable(in *instance) {
+	if in.brokenUntil <= f.now {
+		f.verdict = AllRefused
+	}
+	f.availableAt = min(f.availableAt, max(in.refusedUntil(f), in.brokenUntil))
 }
 
 func (f *filter) lessLoaded(a, b *instance) *instance {
@@ -139,22 +167,3 @@
 func (in *instance) choice() Choice {
 	return Choice{Instance: in.member.Instance, Address: in.member.Address, Incarnation: in.member.Incarnation}
 }
-
-// unavailable tells why no instance was picked and when the first one may be available.
-func (s *service) unavailable(f *filter, settings *Settings) (Choice, Verdict) {
-	verdict := NoInstance
-	at := f.now.Add(settings.BrokenMax)
-	for _, instances := range s.tiers {
-		for _, in := range instances {
-			if slices.Contains(f.excluded, in.member.Instance) {
-				continue
-			}
-			refused := in.refusedUntil(f)
-			if in.brokenUntil <= f.now && refused > f.now {
-				verdict = AllRefused
-			}
-			at = min(at, max(refused, in.brokenUntil))
-		}
-	}
-	return Choice{RetryAfter: at.Sub(f.now)}, verdict
-}
