--- a/node/configure.go
+++ b/node/configure.go
@@ -46,7 +46,8 @@
 	n.members.handle(member.Bootstrap{Rows: seeds})
 	// Peers that answer the first messages count for the start rule.
 	sleep(ctx, joinTime)
-	n.pollMembers(n.members.list())
+	n.introduced.Store(true)
+	n.membersChanged()
 	for {
 		err := n.withTimeout(ctx, n.exchangeRows)
 		if err == nil {
