--- a/admission/command.go
+++ b/admission/command.go
@@ -226,9 +226,7 @@
 	c.limit.endInterval(elapsed, c.level.starved)
 	capacity := c.limit.perSecond(now) * elapsed.Seconds()
 	room := queueTargetShare*float64(c.settings.QueueLimit) - float64(c.queued())
-	room = max(room, -maxDrainShare*capacity)
-	idle := c.queued() == 0 && c.running < c.limit.at(now)
-	c.level.endInterval(now, capacity, room, idle)
+	c.level.endInterval(now, capacity, room)
 	c.fill(now)
 }
 
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -19,7 +19,11 @@
 	keptShare = 0.95
 	// baselineDrift lets the baseline follow a lasting change, by 1% a second.
 	baselineDrift = 1.0025
-	// firstHold and maxHold are the intervals between failed trials; the hold doubles after each.
+	// trialSamples is the number of completions before and during a trial. With
+	// 75, chance made trials succeed and the limit sank for no reason.
+	trialSamples = 800
+	// firstHold and maxHold are the intervals after a failed trial in which the
+	// limit does not rise; the hold doubles after each.
 	firstHold, maxHold = 8, 128
 	// limitFloor is the smallest share of the slots.
 	limitFloor = 8
@@ -50,12 +54,26 @@
 	peak int
 
 	trial     trial
+	trialFrom int
+	before    measurement
+	during    measurement
 	hold      int
 	nextHold  int
-	trialFrom int
-	rate      float64
 }
 
+// measurement is the completion rate over saturated intervals.
+type measurement struct {
+	count   int
+	elapsed time.Duration
+}
+
+func (m *measurement) add(count int, elapsed time.Duration) {
+	m.count += count
+	m.elapsed += elapsed
+}
+
+func (m *measurement) rate() float64 { return float64(m.count) / m.elapsed.Seconds() }
+
 type trial uint8
 
 const (
@@ -115,11 +133,11 @@
 	weight := float64(l.count) / float64(l.count+settledSamples)
 	mean := float64(l.sumTotal) / float64(l.count)
 	l.total += time.Duration(weight * (mean - float64(l.total)))
-	l.adapt(l.sumOwn/time.Duration(l.count), float64(l.count)/elapsed.Seconds())
+	l.adapt(l.sumOwn/time.Duration(l.count), elapsed)
 	l.sumTotal, l.sumOwn, l.count, l.peak = 0, 0, 0, 0
 }
 
-func (l *limiter) adapt(own time.Duration, rate float64) {
+func (l *limiter) adapt(own, elapsed time.Duration) {
 	if l.count < settledSamples {
 		return
 	}
@@ -128,35 +146,61 @@
 	}
 	l.baseline = time.Duration(float64(l.baseline) * baselineDrift)
 	l.hold = max(0, l.hold-1)
-	saturated := l.peak >= l.limit
+	growth := float64(own) / float64(l.baseline)
 	switch {
+	case l.peak < l.limit:
+		// Only a full backend server tells something about its limit.
+		l.abandonTrial()
 	case l.trial == trialSettling:
 		l.trial = trialMeasuring
+		return
 	case l.trial == trialMeasuring:
-		l.endTrial(rate, saturated)
-	case float64(own) <= normalFactor*float64(l.baseline):
+		l.during.add(l.count, elapsed)
+		l.endTrial(own)
+		return
+	case growth > slowFactor:
+		l.before.add(l.count, elapsed)
+		l.beginTrial()
+		return
+	}
+	if growth <= normalFactor && l.hold == 0 {
 		l.limit = min(l.slots, l.limit+max(1, l.limit/10))
-		l.nextHold = firstHold
-	case float64(own) > slowFactor*float64(l.baseline) && saturated && l.hold == 0:
-		l.beginTrial(rate)
 	}
 }
 
-func (l *limiter) beginTrial(rate float64) {
+func (l *limiter) abandonTrial() {
+	if l.trial != trialNone {
+		l.limit = l.trialFrom
+	}
+	l.trial = trialNone
+	l.before, l.during = measurement{}, measurement{}
+}
+
+func (l *limiter) beginTrial() {
 	lower := max(l.slots/limitFloor, int(float64(l.limit)*(1-trialStep)), 1)
-	if lower >= l.limit {
+	if l.before.count < trialSamples || lower >= l.limit {
 		return
 	}
-	l.trial, l.trialFrom, l.rate = trialSettling, l.limit, rate
+	l.trial, l.trialFrom = trialSettling, l.limit
 	l.limit = lower
 }
 
-func (l *limiter) endTrial(rate float64, saturated bool) {
+// endTrial keeps the lower limit if completions did not fall with it. If they
+// did, the backend server is slow for another reason, and its present own time
+// becomes the baseline, so that the same slowness starts no further trial.
+func (l *limiter) endTrial(own time.Duration) {
+	if l.during.count < trialSamples {
+		return
+	}
+	kept := l.during.rate() >= keptShare*l.before.rate()
 	l.trial = trialNone
-	if saturated && rate >= keptShare*l.rate {
+	l.before, l.during = l.during, measurement{}
+	if kept {
 		return
 	}
 	l.limit = l.trialFrom
+	l.baseline = own
+	l.before = measurement{}
 	l.hold = l.nextHold
 	l.nextHold = min(2*l.nextHold, maxHold)
 }
