experiment: add overload experiments in virtual time

Cause: the targets of design section 1 need a measurement over the decision code, with load above capacity, deep chains and callers that resend. Change: a simulation of the services on the paths of both deployments with fake backend servers, 9 scenarios, the design, the design with one mechanism off, and 3 baselines; program sapphiretack-experiment with table, JSON and timeline; a short seeded version in go test.

--- /dev/null
+++ b/cmd/sapphiretack-experiment/main.go
@@ -0,0 +1,148 @@
+// Command sapphiretack-experiment runs overload experiments in virtual time.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/integrii/flaggy"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphiretack/sapphiretack/experiment"
+)
+
+// options are the flags.
+type options struct {
+	scenario, deployment, variant string
+	seed                          uint64
+	json, timeline                bool
+	parallel                      int
+}
+
+func main() {
+	o := options{scenario: "all", deployment: "all", variant: "all", seed: 1, parallel: 2}
+	flaggy.SetName("sapphiretack-experiment")
+	flaggy.SetDescription("Runs overload experiments in virtual time. Example: sapphiretack-experiment --scenario surge10 --variant sapphiretack")
+	flaggy.String(&o.scenario, "", "scenario", "Scenarios, separated by commas, or all")
+	flaggy.String(&o.deployment, "", "deployment", "Deployments, separated by commas, or all")
+	flaggy.String(&o.variant, "", "variant", "Variants, separated by commas, or all")
+	flaggy.UInt64(&o.seed, "", "seed", "Seed of the run")
+	flaggy.Bool(&o.json, "", "json", "Print one JSON document for each run")
+	flaggy.Bool(&o.timeline, "", "timeline", "Print each control interval")
+	flaggy.Int(&o.parallel, "", "parallel", "Runs at the same time")
+	flaggy.Parse()
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "sapphiretack-experiment:", err)
+		os.Exit(2)
+	}
+}
+
+func run(o options) error {
+	deployments, err := choose(experiment.Deployments, o.deployment, func(d *experiment.Deployment) string { return d.Name })
+	if err != nil {
+		return err
+	}
+	scenarios, err := choose(experiment.Scenarios, o.scenario, func(s experiment.Scenario) string { return s.Name })
+	if err != nil {
+		return err
+	}
+	variants, err := choose(experiment.Variants, o.variant, func(v experiment.Variant) string { return v.Name })
+	if err != nil {
+		return err
+	}
+	return print(o, runAll(o, deployments, scenarios, variants))
+}
+
+// choose returns the items that a list of names selects.
+func choose[T any](items []T, names string, name func(T) string) ([]T, error) {
+	if names == "all" {
+		return items, nil
+	}
+	var out []T
+	for n := range strings.SplitSeq(names, ",") {
+		found := false
+		for _, item := range items {
+			if name(item) == n {
+				out = append(out, item)
+				found = true
+			}
+		}
+		if !found {
+			return nil, errs.New("%q is unknown; use all or some of %s", n, join(items, name))
+		}
+	}
+	return out, nil
+}
+
+func join[T any](items []T, name func(T) string) string {
+	var names []string
+	for _, item := range items {
+		names = append(names, name(item))
+	}
+	return strings.Join(names, ", ")
+}
+
+func runAll(o options, deployments []*experiment.Deployment, scenarios []experiment.Scenario, variants []experiment.Variant) []*experiment.Report {
+	reports := make([]*experiment.Report, len(deployments)*len(scenarios)*len(variants))
+	var group errgroup.Group
+	group.SetLimit(max(1, o.parallel))
+	i := 0
+	for _, d := range deployments {
+		for _, s := range scenarios {
+			for _, v := range variants {
+				place := i
+				i++
+				group.Go(func() error {
+					reports[place] = experiment.Run(d, s, v, o.seed)
+					return nil
+				})
+			}
+		}
+	}
+	_ = group.Wait() // No run returns an error.
+	return reports
+}
+
+func print(o options, reports []*experiment.Report) error {
+	if o.json {
+		return printJSON(o, reports)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "deployment\tscenario\tvariant\toffered\ttotal%\tess%\tstd%\tbulk%\tess.ans%\tess.cap%\tafter%\trec.ms\tshare.ms\tp99rec.ms\twaste%\tattempts\trefused e/s/b\tref.ms\tref99.ms\tess99.ms\tnorm99.ms\tothers%\tdeep%\t")
+	for _, r := range reports {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%.1f\t%d\t%d\t%d\t%.1f\t%.3f\t%d/%d/%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n",
+			r.Deployment, r.Scenario, r.Variant, r.OfferedPerSecond/r.CapacityPerSecond, 100*r.Total,
+			100*r.Goodput[0], 100*r.Goodput[1], 100*r.Goodput[2], 100*r.EssentialAnswered, 100*r.EssentialOfCapacity, 100*r.After,
+			r.RecoveryMillis, r.ShareRecoveryMillis, r.LatencyRecoveryMillis, 100*r.Wasted, r.AttemptsPerRequest,
+			r.Refusals[0], r.Refusals[1], r.Refusals[2], r.RefusalMillis, r.RefusalMillis99,
+			r.EssentialMillis99, r.NormalMillis99, 100*r.OtherCustomers, 100*r.Deep)
+		if o.timeline {
+			printTimeline(w, r)
+		}
+	}
+	return w.Flush()
+}
+
+func printTimeline(w *tabwriter.Writer, r *experiment.Report) {
+	for _, p := range r.Timeline {
+		fmt.Fprintf(w, "%d ms\tarrived %v\tanswered %v\tcompleted %v\tlevels %v\tqueued %v\tp99 %.0f ms\t\n",
+			p.Millis, p.Arrived, p.Answered, p.Completed, p.Levels, p.Queued, p.Millis99)
+	}
+}
+
+func printJSON(o options, reports []*experiment.Report) error {
+	encoder := json.NewEncoder(os.Stdout)
+	for _, r := range reports {
+		if !o.timeline {
+			r.Timeline = nil
+		}
+		if err := encoder.Encode(r); err != nil {
+			return errs.Wrap(err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/experiment/hop.go
@@ -0,0 +1,240 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/sapphiretack/sapphiretack/budget"
+	"github.com/sapphiretack/sapphiretack/call"
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/route"
+)
+
+// hop is one call of a chain at its source.
+type hop struct {
+	sim      *simulation
+	send     *send
+	node     *instance
+	parent   *attempt
+	position int
+	priority request.Priority
+	deadline request.Instant
+	account  *budget.Account
+	call     *call.Call
+	attempts []*attempt
+	// pathLevel is the lowest level that destinations below reported.
+	pathLevel request.Priority
+	done      func(call.End)
+	ended     bool
+}
+
+// newHop returns the call at a position of the chain; parent is nil at the first node.
+func (s *simulation) newHop(c *send, node *instance, parent *attempt, position int) *hop {
+	h := &hop{sim: s, send: c, node: node, parent: parent, position: position, pathLevel: request.MaxPriority}
+	h.priority = c.request.priority
+	h.deadline = c.deadline
+	if !s.variant.priority {
+		h.priority = request.Priority(s.random.IntN(int(request.MaxPriority)))
+	}
+	if !s.variant.deadline {
+		h.deadline = s.clock.now.Add(c.request.chain.Timeout * time.Duration(1+s.variant.retries))
+	}
+	switch {
+	case s.variant.retries > 0:
+		a := budget.NewAccount(s.variant.retries)
+		h.account = &a
+	case parent != nil:
+		h.account = &parent.account
+	default:
+		h.account = c.account
+	}
+	return h
+}
+
+func (h *hop) start() {
+	h.call = call.New(h.plan(), call.Dependencies{
+		Router:      h.router(),
+		Account:     h.account,
+		Limiter:     h.limiter(),
+		NextAttempt: h.node.nextAttempt,
+	})
+	h.handle(call.Start{})
+}
+
+func (h *hop) router() call.Router {
+	if h.sim.variant.isBaseline() {
+		return anyRouter{h.node.table}
+	}
+	return h.node.table
+}
+
+func (h *hop) limiter() call.Limiter {
+	if h.sim.variant.retries > 0 {
+		return unlimited{}
+	}
+	return h.node.ratio
+}
+
+// anyRouter lets a retry go to an instance that had an attempt before.
+type anyRouter struct{ table *route.Table }
+
+// Pick chooses among all instances.
+func (r anyRouter) Pick(now request.Instant, s request.ServiceID, p request.Priority, _ []request.InstanceID) (route.Choice, route.Verdict) {
+	return r.table.Pick(now, s, p, nil)
+}
+
+// unlimited allows every retry.
+type unlimited struct{}
+
+// Allow permits a retry.
+func (unlimited) Allow(request.Instant, request.ServiceID) bool { return true }
+
+// Succeeded takes no note.
+func (unlimited) Succeeded(request.Instant, request.ServiceID) {}
+
+func (h *hop) handle(e call.Event) {
+	for _, action := range h.call.Handle(h.sim.clock.now, e, nil) {
+		switch action := action.(type) {
+		case call.Send:
+			h.transmit(action)
+		case call.Withdraw:
+			h.withdraw(h.find(action.Attempt))
+		case call.Cancel:
+			h.cancel(h.find(action.Attempt))
+		case call.SetTimer:
+			h.sim.clock.after(action.At.Sub(h.sim.clock.now), func() {
+				if !h.ended {
+					h.handle(call.Timer{})
+				}
+			})
+		case call.End:
+			h.ended = true
+			h.done(action)
+		}
+	}
+}
+
+func (h *hop) find(id request.AttemptID) *attempt {
+	for _, a := range h.attempts {
+		if a.id == id {
+			return a
+		}
+	}
+	return nil
+}
+
+// connectTimeout is the time after which a source gives up on an instance that does not respond at all.
+const connectTimeout = 100 * time.Millisecond
+
+func (h *hop) transmit(s call.Send) {
+	to := h.sim.byID[s.Choice.Instance]
+	a := &attempt{
+		sim: h.sim, hop: h, instance: to, id: s.Attempt, priority: h.priority,
+		remaining: s.Remaining, account: budget.NewAccount(s.Lent),
+	}
+	h.attempts = append(h.attempts, a)
+	h.node.table.Begin(h.sim.clock.now, to.id)
+	h.send.request.countAttempt(h.position)
+	if !h.sim.reachable(h.node.zone, to.zone) {
+		h.sim.clock.after(connectTimeout, func() { h.broken(a) })
+		return
+	}
+	delay := h.sim.delay(h.node.zone, to.zone)
+	a.remaining -= delay
+	h.sim.clock.after(delay, a.deliver)
+	if h.sim.variant.retries > 0 && !h.sim.variant.deadline {
+		// Each hop waits for its own timeout and then tries again.
+		h.sim.clock.after(h.send.request.chain.Timeout, func() { h.broken(a) })
+	}
+}
+
+// closeAttempt counts the end of an attempt once and reports whether it was open.
+func (h *hop) closeAttempt(a *attempt) bool {
+	if a.answered {
+		return false
+	}
+	a.answered = true
+	h.node.table.Done(a.instance.id)
+	return true
+}
+
+func (h *hop) refused(a *attempt, r request.Reason, retryAfter time.Duration) {
+	if !h.closeAttempt(a) {
+		return
+	}
+	h.observe(a)
+	// A refusal for load is not remembered. Remembered refusals blocked a whole
+	// class as long as probes were refused, and 42% of the work was wasted at
+	// ten times the load.
+	if !h.sim.variant.isBaseline() && r == request.Draining {
+		h.node.table.Refused(h.sim.clock.now, a.instance.id, a.priority, h.sim.clock.now.Add(retryAfter))
+	}
+	h.handle(call.Refused{Attempt: a.id, Reason: r, RetryAfter: retryAfter})
+}
+
+func (h *hop) finished(a *attempt, o request.Outcome) {
+	if !h.closeAttempt(a) {
+		return
+	}
+	h.observe(a)
+	if h.sim.variant.isBaseline() && o == request.Failed {
+		// The baselines retry errors.
+		h.handle(call.Broken{Attempt: a.id})
+		return
+	}
+	parts := uint32(0)
+	if o == request.Answered {
+		parts = 1
+		h.handle(call.Part{Attempt: a.id})
+	}
+	h.handle(call.Finished{Attempt: a.id, Parts: parts, Outcome: o, Returned: a.account.Held()})
+}
+
+func (h *hop) broken(a *attempt) {
+	if !h.closeAttempt(a) {
+		return
+	}
+	if !a.instance.up || !h.sim.reachable(h.node.zone, a.instance.zone) {
+		h.node.table.Broken(h.sim.clock.now, a.instance.id)
+	}
+	h.handle(call.Broken{Attempt: a.id})
+}
+
+// observe takes the load and the level of a response into account.
+func (h *hop) observe(a *attempt) {
+	l := a.instance.loadReport()
+	h.node.table.Observe(h.sim.clock.now, a.instance.id, l)
+	h.pathLevel = min(h.pathLevel, a.pathLevel, l.Level)
+	if h.parent == nil && h.sim.variant.earlyShed {
+		h.node.table.ObserveLevel(h.sim.clock.now, a.hop.plan().Service, h.send.request.chain.Operation, h.pathLevel)
+	}
+}
+
+func (h *hop) withdraw(a *attempt) {
+	if !h.sim.reachable(h.node.zone, a.instance.zone) {
+		return
+	}
+	delay := h.sim.delay(h.node.zone, a.instance.zone)
+	h.sim.clock.after(delay, func() {
+		result := call.NoReply
+		if a.instance.up {
+			result = call.AlreadyStarted
+			if a.instance.gate.withdraw(a) {
+				result = call.Withdrawn
+				a.end()
+			}
+		}
+		h.sim.clock.after(delay, func() { h.handle(call.WithdrawReply{Attempt: a.id, Result: result}) })
+	})
+}
+
+func (h *hop) cancel(a *attempt) {
+	h.closeAttempt(a)
+	if !h.sim.variant.deadline || !h.sim.reachable(h.node.zone, a.instance.zone) {
+		return
+	}
+	h.sim.clock.after(h.sim.delay(h.node.zone, a.instance.zone), func() {
+		if a.instance.up && a.state != attemptEnded {
+			a.instance.gate.cancel(a)
+		}
+	})
+}
--- /dev/null
+++ b/experiment/report.go
@@ -0,0 +1,343 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+// binTime is the length of the bins in which recovery is measured, one control interval.
+const binTime = 250 * time.Millisecond
+
+// collector gathers the measurements of a run.
+type collector struct {
+	sim  *simulation
+	bins []bin
+	// The rest counts only requests that arrived during the trigger.
+	work, useful   time.Duration
+	attempts       int
+	firstAttempts  int
+	refusals       [request.ClassCount]int
+	refusalTimes   []time.Duration
+	essentialTimes []time.Duration
+	others         ratio
+	deep           ratio
+}
+
+// bin counts the requests that arrived in one bin time, and what became of them.
+type bin struct {
+	arrived, answered [request.ClassCount]int
+	// completed counts the responses in the bin, whenever their requests arrived.
+	completed [request.ClassCount]int
+	latencies []time.Duration
+	// levels are the lowest level of each stated service, queued the attempts that wait there.
+	levels, queued [statedServices]int
+}
+
+type ratio struct{ count, of int }
+
+func (r ratio) share() float64 {
+	if r.of == 0 {
+		return 0
+	}
+	return float64(r.count) / float64(r.of)
+}
+
+func newCollector(s *simulation) *collector {
+	sc := s.scenario
+	return &collector{sim: s, bins: make([]bin, int((sc.Before+sc.Trigger+sc.After)/binTime)+1)}
+}
+
+func (c *collector) bin(at request.Instant) *bin { return &c.bins[int(at/request.Instant(binTime))] }
+
+// isTriggered reports whether the request arrived during the trigger.
+func (c *collector) isTriggered(r *clientRequest) bool {
+	sc := c.sim.scenario
+	return r.arrived >= request.Instant(sc.Before) && r.arrived < request.Instant(sc.Before+sc.Trigger)
+}
+
+func (c *collector) arrived(r *clientRequest) {
+	c.bin(r.arrived).arrived[r.class]++
+	if !c.isTriggered(r) {
+		return
+	}
+	if r.customer != 0 {
+		c.others.of++
+	}
+	if len(r.chain.Services) > 20 {
+		c.deep.of++
+	}
+}
+
+// answered counts a request and the time that its last send took.
+func (c *collector) answered(r *clientRequest, latency time.Duration) {
+	c.bin(r.arrived).answered[r.class]++
+	b := c.bin(c.sim.clock.now)
+	b.completed[r.class]++
+	b.latencies = append(b.latencies, latency)
+	if !c.isTriggered(r) {
+		return
+	}
+	c.useful += r.work
+	if r.customer != 0 {
+		c.others.count++
+	}
+	if len(r.chain.Services) > 20 {
+		c.deep.count++
+	}
+	if r.class == request.Essential {
+		c.essentialTimes = append(c.essentialTimes, latency)
+	}
+}
+
+func (c *collector) worked(r *clientRequest, d time.Duration) {
+	if c.isTriggered(r) {
+		c.work += d
+	}
+}
+
+func (c *collector) attempted(r *clientRequest, first bool) {
+	if !c.isTriggered(r) {
+		return
+	}
+	c.attempts++
+	if first {
+		c.firstAttempts++
+	}
+}
+
+func (c *collector) refused(r *clientRequest, after time.Duration) {
+	if c.isTriggered(r) {
+		c.refusals[r.class]++
+		c.refusalTimes = append(c.refusalTimes, after)
+	}
+}
+
+// sample records the state of the stated services; the last sample of a bin stays.
+func (c *collector) sample() {
+	b := c.bin(c.sim.clock.now)
+	zones := len(c.sim.deployment.Zones)
+	for i := range statedServices {
+		b.levels[i], b.queued[i] = int(request.MaxPriority), 0
+		for _, in := range c.sim.first[i*zones : (i+1)*zones] {
+			l := in.gate.load()
+			b.levels[i] = min(b.levels[i], int(l.Level))
+			b.queued[i] += int(l.Queued)
+		}
+	}
+}
+
+// Report holds the measurements of one run. Shares are parts of 1, times are in milliseconds.
+type Report struct {
+	Deployment string `json:"deployment"`
+	Scenario   string `json:"scenario"`
+	Variant    string `json:"variant"`
+	Seed       uint64 `json:"seed"`
+
+	// OfferedPerSecond and CapacityPerSecond are whole requests during the trigger.
+	OfferedPerSecond  float64 `json:"offered_per_second"`
+	CapacityPerSecond float64 `json:"capacity_per_second"`
+
+	// Goodput is the completed requests by class during the trigger as a share
+	// of what the bottleneck carries, or of the offered load where that is less.
+	Goodput [request.ClassCount]float64 `json:"goodput"`
+	Total   float64                     `json:"goodput_total"`
+	// EssentialAnswered is the share of the essential requests of the trigger
+	// that completed; EssentialOfCapacity is the same as a share of the
+	// capacity where essential load exceeds it.
+	EssentialAnswered   float64 `json:"essential_answered"`
+	EssentialOfCapacity float64 `json:"essential_of_capacity"`
+	// After is the goodput in the seconds after the trigger as a share of the offered load.
+	After float64 `json:"goodput_after"`
+
+	// RecoveryMillis, ShareRecoveryMillis and LatencyRecoveryMillis are the
+	// times after the trigger until goodput is 95% of normal, until 95% of the
+	// normal share of newly arrived requests completes, and until p99 of the
+	// answered sends is in its normal range; -1 if that did not happen in the run.
+	RecoveryMillis        int64 `json:"recovery_ms"`
+	ShareRecoveryMillis   int64 `json:"share_recovery_ms"`
+	LatencyRecoveryMillis int64 `json:"latency_recovery_ms"`
+
+	// Wasted is the work for requests that then failed as a share of all work.
+	Wasted float64 `json:"wasted"`
+	// AttemptsPerRequest is all attempts for one first attempt.
+	AttemptsPerRequest float64                 `json:"attempts_per_request"`
+	Refusals           [request.ClassCount]int `json:"refusals"`
+	RefusalMillis      float64                 `json:"refusal_ms_p50"`
+	RefusalMillis99    float64                 `json:"refusal_ms_p99"`
+	EssentialMillis99  float64                 `json:"essential_ms_p99"`
+	NormalMillis99     float64                 `json:"normal_ms_p99"`
+	// OtherCustomers is the share of requests that complete for the customers that are not hot.
+	OtherCustomers float64 `json:"other_customers"`
+	// Deep is the share of requests that complete on the chain that is 22 deep.
+	Deep  float64 `json:"deep"`
+	Steps uint64  `json:"steps"`
+
+	Timeline []Point `json:"timeline,omitempty"`
+}
+
+// Point is one bin of the timeline.
+type Point struct {
+	Millis    int64                   `json:"ms"`
+	Arrived   [request.ClassCount]int `json:"arrived"`
+	Answered  [request.ClassCount]int `json:"answered"`
+	Completed [request.ClassCount]int `json:"completed"`
+	// Levels and Queued are those of the stated services; the bottleneck is the last one.
+	Levels   [statedServices]int `json:"levels"`
+	Queued   [statedServices]int `json:"queued"`
+	Millis99 float64             `json:"ms_p99"`
+}
+
+func (c *collector) finish(seed uint64) *Report {
+	s := c.sim
+	sc := s.scenario
+	r := &Report{Deployment: s.deployment.Name, Scenario: sc.Name, Variant: s.variant.Name, Seed: seed, Steps: s.clock.steps}
+	r.OfferedPerSecond = s.normalRate * sc.offeredShare()
+	r.CapacityPerSecond = s.deployment.Capacity() * sc.capacityShare()
+	c.reportGoodput(r)
+	c.reportRecovery(r)
+	if c.work > 0 {
+		r.Wasted = float64(c.work-c.useful) / float64(c.work)
+	}
+	r.AttemptsPerRequest = ratio{c.attempts, c.firstAttempts}.share()
+	r.Refusals = c.refusals
+	r.RefusalMillis, r.RefusalMillis99 = percentile(c.refusalTimes, 0.5), percentile(c.refusalTimes, 0.99)
+	r.EssentialMillis99 = percentile(c.essentialTimes, 0.99)
+	r.OtherCustomers, r.Deep = c.others.share(), c.deep.share()
+	for i := range c.bins {
+		r.Timeline = append(r.Timeline, c.point(i))
+	}
+	return r
+}
+
+func (c *collector) point(i int) Point {
+	b := &c.bins[i]
+	return Point{
+		Millis:  int64(i) * binTime.Milliseconds(),
+		Arrived: b.arrived, Answered: b.answered, Completed: b.completed,
+		Levels: b.levels, Queued: b.queued, Millis99: percentile(b.latencies, 0.99),
+	}
+}
+
+// phases returns the bins before, during and after the trigger. The first
+// second is left out, since the run begins without load.
+func (c *collector) phases() (before, during, after []bin) {
+	sc := c.sim.scenario
+	begin, end := int(sc.Before/binTime), int((sc.Before+sc.Trigger)/binTime)
+	first := int(time.Second / binTime)
+	return c.bins[first:begin], c.bins[begin:end], c.bins[end : len(c.bins)-1]
+}
+
+func (c *collector) reportGoodput(r *Report) {
+	_, during, after := c.phases()
+	possible := min(r.CapacityPerSecond, r.OfferedPerSecond) * c.sim.scenario.Trigger.Seconds()
+	var essential ratio
+	for _, b := range during {
+		for class, n := range b.completed {
+			r.Goodput[class] += float64(n) / possible
+			r.Total += float64(n) / possible
+		}
+		essential.count += b.answered[request.Essential]
+		essential.of += b.arrived[request.Essential]
+	}
+	r.EssentialAnswered = essential.share()
+	carried := min(float64(essential.of), r.CapacityPerSecond*c.sim.scenario.Trigger.Seconds())
+	r.EssentialOfCapacity = float64(essential.count) / carried
+	r.After = answeredShare(settled(after))
+}
+
+// settled leaves out the last bins, whose requests may still run when the run ends.
+func settled(bins []bin) []bin {
+	return bins[:len(bins)-int(2*time.Second/binTime)]
+}
+
+func answeredShare(bins []bin) float64 {
+	var all ratio
+	for _, b := range bins {
+		for class := range b.arrived {
+			all.count += b.answered[class]
+			all.of += b.arrived[class]
+		}
+	}
+	return all.share()
+}
+
+const (
+	// recoveredShare of the normal share of completed requests counts as recovered.
+	recoveredShare = 0.95
+	// latencyMargin over the highest p99 of a bin before the trigger counts as normal.
+	latencyMargin = 1.1
+	// steadyBins must all be normal, so that a single good bin does not count.
+	steadyBins = 4
+)
+
+func (c *collector) reportRecovery(r *Report) {
+	before, _, after := c.phases()
+	normal := answeredShare(before)
+	var highest float64
+	var all []time.Duration
+	for _, b := range before {
+		highest = max(highest, percentile(b.latencies, 0.99))
+		all = append(all, b.latencies...)
+	}
+	r.NormalMillis99 = percentile(all, 0.99)
+	after = settled(after)
+	r.RecoveryMillis = c.goodputRecovery(before, after)
+	r.ShareRecoveryMillis = firstSteady(after, func(b bin) bool { return answeredShare([]bin{b}) >= recoveredShare*normal })
+	r.LatencyRecoveryMillis = firstSteady(after, func(b bin) bool {
+		p99 := percentile(b.latencies, 0.99)
+		return p99 > 0 && p99 <= latencyMargin*highest
+	})
+}
+
+// goodputRecovery returns the time in milliseconds from which steadyBins bins
+// together have 95% of the normal goodput, or -1.
+func (c *collector) goodputRecovery(before, after []bin) int64 {
+	normal := 0
+	for i := range before {
+		normal += before[i].total()
+	}
+	needed := recoveredShare * float64(normal) / float64(len(before)) * steadyBins
+	for i := range len(after) - steadyBins {
+		sum := 0
+		for j := range steadyBins {
+			sum += after[i+j].total()
+		}
+		if float64(sum) >= needed {
+			return int64(i) * binTime.Milliseconds()
+		}
+	}
+	return -1
+}
+
+func (b *bin) total() int {
+	n := 0
+	for _, c := range b.completed {
+		n += c
+	}
+	return n
+}
+
+// firstSteady returns the time in milliseconds of the first bin from which steadyBins bins pass, or -1.
+func firstSteady(bins []bin, pass func(bin) bool) int64 {
+	run := 0
+	for i, b := range bins {
+		if !pass(b) {
+			run = 0
+			continue
+		}
+		if run++; run == steadyBins {
+			return int64(i+1-steadyBins) * binTime.Milliseconds()
+		}
+	}
+	return -1
+}
+
+func percentile(d []time.Duration, q float64) float64 {
+	if len(d) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(d))
+	return float64(sorted[int(q*float64(len(sorted)-1))]) / float64(time.Millisecond)
+}
