--- a/experiment/caller.go
+++ b/experiment/caller.go
@@ -46,6 +46,7 @@
 	from     request.Instant
 	deadline request.Instant
 	account  *budget.Account
+	sent     uint32
 	over     bool
 }
 
@@ -73,10 +74,12 @@
 	r.sim.report.worked(r, d)
 }
 
-func (r *clientRequest) countAttempt(position int) {
+func (c *send) countAttempt(position int) {
+	r := c.request
 	bit := uint32(1) << position
-	r.sim.report.attempted(r, r.sent&bit == 0)
+	r.sim.report.attempted(r, r.sent&bit == 0, c.sent&bit == 0)
 	r.sent |= bit
+	c.sent |= bit
 }
 
 // transmit sends the request to a first node; resends mostly go to the same one.
--- a/experiment/hop.go
+++ b/experiment/hop.go
@@ -133,7 +133,7 @@
 	}
 	h.attempts = append(h.attempts, a)
 	h.node.table.Begin(h.sim.clock.now, to.id)
-	h.send.request.countAttempt(h.position)
+	h.send.countAttempt(h.position)
 	if !h.sim.reachable(h.node.zone, to.zone) {
 		h.sim.clock.after(connectTimeout, func() { h.broken(a) })
 		return
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -18,6 +18,7 @@
 	work, useful   time.Duration
 	attempts       int
 	firstAttempts  int
+	sendAttempts   int
 	refusals       [request.ClassCount]int
 	refusalTimes   []time.Duration
 	essentialTimes []time.Duration
@@ -97,14 +98,19 @@
 	}
 }
 
-func (c *collector) attempted(r *clientRequest, first bool) {
+// attempted counts an attempt; firstOfRequest and firstOfSend tell whether its
+// position in the chain had none before in the request and in the caller's send.
+func (c *collector) attempted(r *clientRequest, firstOfRequest, firstOfSend bool) {
 	if !c.isTriggered(r) {
 		return
 	}
 	c.attempts++
-	if first {
+	if firstOfRequest {
 		c.firstAttempts++
 	}
+	if firstOfSend {
+		c.sendAttempts++
+	}
 }
 
 func (c *collector) refused(r *clientRequest, after time.Duration) {
@@ -161,8 +167,10 @@
 
 	// Wasted is the work for requests that then failed as a share of all work.
 	Wasted float64 `json:"wasted"`
-	// AttemptsPerRequest is all attempts for one first attempt.
+	// AttemptsPerRequest is all attempts for one first attempt at a position of
+	// the chain, with the resends of callers. AttemptsPerSend leaves these out.
 	AttemptsPerRequest float64                 `json:"attempts_per_request"`
+	AttemptsPerSend    float64                 `json:"attempts_per_send"`
 	Refusals           [request.ClassCount]int `json:"refusals"`
 	RefusalMillis      float64                 `json:"refusal_ms_p50"`
 	RefusalMillis99    float64                 `json:"refusal_ms_p99"`
@@ -201,6 +209,7 @@
 		r.Wasted = float64(c.work-c.useful) / float64(c.work)
 	}
 	r.AttemptsPerRequest = ratio{c.attempts, c.firstAttempts}.share()
+	r.AttemptsPerSend = ratio{c.attempts, c.sendAttempts}.share()
 	r.Refusals = c.refusals
 	r.RefusalMillis, r.RefusalMillis99 = percentile(c.refusalTimes, 0.5), percentile(c.refusalTimes, 0.99)
 	r.EssentialMillis99 = percentile(c.essentialTimes, 0.99)
