--- a/node/caller.go
+++ b/node/caller.go
@@ -27,7 +27,7 @@
 	mux.HandleFunc("POST /session", n.openSession)
 	mux.HandleFunc("DELETE /session", n.closeSession)
 	mux.HandleFunc("POST /call/{service}/{operation}", n.serveCall)
-	return mux
+	return n.boundInput(mux)
 }
 
 // openedSession is the response to POST /session.
@@ -141,20 +141,27 @@
 func (n *Node) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	limit := int64(n.settings.Limits.BodyBytes)
 	if r.ContentLength > limit {
-		// Without this, the server would wait for the rest of the body before it sends the response.
 		w.Header().Set("Connection", "close")
 		return nil, &http.MaxBytesError{Limit: limit}
 	}
-	controller := http.NewResponseController(w)
-	// The deadline is lifted after the body: it would otherwise end the response.
-	if err := controller.SetReadDeadline(time.Now().Add(n.settings.Timeouts.Body)); err != nil {
-		return nil, err
-	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	if err != nil {
 		return nil, err
 	}
-	return body, controller.SetReadDeadline(time.Time{})
+	// The deadline would otherwise end a response that takes longer than it.
+	return body, http.NewResponseController(w).SetReadDeadline(time.Time{})
+}
+
+// boundInput sets the deadline for the body before the handler runs. Also a body that the handler does not read needs it,
+// since the server reads the rest of the body after the response.
+func (n *Node) boundInput(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(n.settings.Timeouts.Body)); err != nil {
+			writeMalformed(w, MalformedError.Wrap(err))
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
 }
 
 // receive gives a call its class, priority and deadline from the customer's template.
