configuration: test the start rule against slow and delayed responses

Change: the cluster test delays polls, fetches and messages and applies updates on arrival, checks each start against zone and platform, and bounds its steps; reads from a version are tested during commits; records in use again and a wrong incarnation have scripts. The order of ready lines is sorted, since it depends on the jitter only.

--- a/configuration/poller_test.go
+++ b/configuration/poller_test.go
@@ -18,8 +18,15 @@
 	"github.com/sapphiretack/sapphiretack/request"
 )
 
-// messageDelay is the time that a gossip message, a poll or a fetch takes in the tests.
-const messageDelay = 5 * time.Millisecond
+// The time that a gossip message or a poll, and a fetch from a peer, take in the scripts. A fetch is slower, so that a node
+// that does not wait for it is found out.
+const (
+	messageDelay = 5 * time.Millisecond
+	fetchDelay   = 40 * time.Millisecond
+)
+
+// maxSteps bounds the events of one test.
+const maxSteps = 1_000_000
 
 // instance is a node of the cluster: its replica and its poller.
 type instance struct {
@@ -28,11 +35,12 @@
 	cut     bool // from the platform and from other zones
 	version configuration.Version
 	floor   configuration.Version // highest version of the zone when the run started
+	head    configuration.Version // of the platform when the run started, if it was healthy and reachable since
 	replica *configuration.Replica
 	poller  *configuration.Poller
 	timer   request.Instant
 	run     int // counts restarts; messages to a former run are dropped
-	polls   int
+	told    configuration.Version
 }
 
 // message is an event on its way to one run of an instance.
@@ -40,7 +48,7 @@
 	at    request.Instant
 	to    *instance
 	run   int
-	event configuration.PollEvent
+	event func() configuration.PollEvent // evaluated on arrival
 }
 
 // cluster runs pollers and replicas against one platform in virtual time.
@@ -53,6 +61,9 @@
 	instances map[string]*instance
 	messages  []message
 	random    *rand.Rand
+	pollDelay time.Duration
+	varied    bool // delays vary up to a second
+	steps     int
 	log       []string
 }
 
@@ -61,6 +72,7 @@
 	c := &cluster{
 		t: t, fake: fake, store: configuration.NewWithLog(fake, 6),
 		instances: map[string]*instance{}, random: rand.New(rand.NewPCG(seed, 1)),
+		pollDelay: messageDelay,
 	}
 	publishTemplate(t, c.store)
 	return c
@@ -78,12 +90,37 @@
 		c.instances[name] = n
 	}
 	n.run++
-	n.version = 0
+	n.version, n.told = 0, 0
 	n.floor = c.zoneVersion(n)
+	n.head = 0
+	if c.fault == platform.NoFault && !n.cut {
+		u, err := c.store.Since(context.Background(), 1<<60)
+		qt.Assert(c.t, err, qt.IsNil)
+		n.head = u.Version
+	}
 	n.replica = configuration.NewReplica()
 	s := configuration.PollSettings{Instance: request.InstanceID(name), Zone: request.ZoneID(n.zone)}
 	n.poller = configuration.NewPoller(s, c.now, c.random)
 	n.timer = -1
+	c.send(n, 0, event(configuration.PollTick{}))
+	c.membership()
+}
+
+// setFault sets the fault of every request; what a start must reach is no longer known.
+func (c *cluster) setFault(f platform.Fault) {
+	c.fault = f
+	for _, n := range c.instances {
+		n.head = 0
+	}
+}
+
+// cut cuts a zone off or heals the cut.
+func (c *cluster) cut(zone string, cut bool) {
+	for _, n := range c.instances {
+		if n.zone == zone {
+			n.cut, n.head = cut, 0
+		}
+	}
 	c.membership()
 }
 
@@ -107,12 +144,19 @@
 				peers = append(peers, configuration.Peer{Instance: request.InstanceID(other), Zone: request.ZoneID(o.zone), Version: o.replica.Version()})
 			}
 		}
-		c.send(n, configuration.MembersChanged{Peers: peers})
+		c.send(n, messageDelay, event(configuration.MembersChanged{Peers: peers}))
 	}
 }
 
-func (c *cluster) send(to *instance, e configuration.PollEvent) {
-	c.messages = append(c.messages, message{c.now.Add(messageDelay), to, to.run, e})
+func (c *cluster) send(to *instance, delay time.Duration, e func() configuration.PollEvent) {
+	if c.varied {
+		delay = time.Duration(c.random.IntN(1000)) * time.Millisecond
+	}
+	c.messages = append(c.messages, message{c.now.Add(delay), to, to.run, e})
+}
+
+func event(e configuration.PollEvent) func() configuration.PollEvent {
+	return func() configuration.PollEvent { return e }
 }
 
 func (c *cluster) handle(n *instance, e configuration.PollEvent) {
@@ -120,19 +164,21 @@
 	for _, a := range n.poller.Handle(c.now, e, nil) {
 		switch a := a.(type) {
 		case configuration.PollPlatform:
-			n.polls++
-			c.send(n, c.pollPlatform(n))
+			c.send(n, c.pollDelay, c.pollPlatform(n))
 		case configuration.FetchPeer:
-			c.send(n, c.fetchPeer(n, a.Instance))
+			c.send(n, fetchDelay, c.fetchPeer(n, a.Instance))
 		case configuration.Announce:
+			qt.Assert(c.t, a.Version > n.told, qt.IsTrue, qt.Commentf("%s announces a version twice or a lower one", n.name))
+			n.told = a.Version
 			for _, name := range c.names() {
 				if o := c.instances[name]; o != n && reachable(n, o) {
-					c.send(o, configuration.Heard{Instance: request.InstanceID(n.name), Version: a.Version})
+					c.send(o, messageDelay, event(configuration.Heard{Instance: request.InstanceID(n.name), Version: a.Version}))
 				}
 			}
 		case configuration.Ready:
 			qt.Assert(c.t, ready, qt.IsFalse)
 			qt.Assert(c.t, a.Version >= min(n.floor, c.zoneVersion(n)), qt.IsTrue, qt.Commentf("%s serves an older version than its zone", n.name))
+			qt.Assert(c.t, a.Version >= n.head, qt.IsTrue, qt.Commentf("%s serves an older version than the platform", n.name))
 			c.log = append(c.log, fmt.Sprintf("%s ready at version %d", n.name, a.Version))
 		case configuration.SetPollTimer:
 			n.timer = a.At
@@ -150,29 +196,38 @@
 	return n.replica.Version(), err
 }
 
-func (c *cluster) pollPlatform(n *instance) configuration.Polled {
+// pollPlatform reads now; the update is applied when the response arrives.
+func (c *cluster) pollPlatform(n *instance) func() configuration.PollEvent {
 	if n.cut {
-		return configuration.Polled{Err: configuration.Unavailable.New("cut")}
+		return event(configuration.Polled{Err: configuration.Unavailable.New("cut")})
 	}
 	c.fake.Inject(func(context.Context, platform.OperationKind) platform.Fault { return c.fault })
 	defer c.fake.Inject(nil)
-	v, err := n.apply(c.store.Since(context.Background(), n.replica.Version()))
-	return configuration.Polled{Version: v, Err: err}
+	u, err := c.store.Since(context.Background(), n.replica.Version())
+	return func() configuration.PollEvent {
+		v, err := n.apply(u, err)
+		return configuration.Polled{Version: v, Err: err}
+	}
 }
 
-func (c *cluster) fetchPeer(n *instance, from request.InstanceID) configuration.Fetched {
+// fetchPeer reads now; the update is applied when the response arrives.
+func (c *cluster) fetchPeer(n *instance, from request.InstanceID) func() configuration.PollEvent {
 	o := c.instances[string(from)]
 	if !reachable(n, o) {
-		return configuration.Fetched{Instance: from, Err: configuration.Unavailable.New("cut")}
+		return event(configuration.Fetched{Instance: from, Err: configuration.Unavailable.New("cut")})
+	}
+	u := o.replica.Since(n.replica.Version())
+	return func() configuration.PollEvent {
+		v, err := n.apply(u, nil)
+		return configuration.Fetched{Instance: from, Version: v, Err: err}
 	}
-	v, err := n.apply(o.replica.Since(n.replica.Version()), nil)
-	return configuration.Fetched{Instance: from, Version: v, Err: err}
 }
 
 // advance delivers messages and timers in order of time.
 func (c *cluster) advance(d time.Duration) {
 	until := c.now.Add(d)
-	for {
+	for ; ; c.steps++ {
+		qt.Assert(c.t, c.steps < maxSteps, qt.IsTrue, qt.Commentf("the pollers run in a circle"))
 		next, timer := -1, (*instance)(nil)
 		at := until
 		for i, m := range c.messages {
@@ -193,7 +248,7 @@
 			m := c.messages[next]
 			c.messages = slices.Delete(c.messages, next, next+1)
 			if m.run == m.to.run {
-				c.handle(m.to, m.event)
+				c.handle(m.to, m.event())
 			}
 		default:
 			return
@@ -246,21 +301,18 @@
 				}
 				return result
 			case "platform":
-				c.fault = map[string]platform.Fault{"up": platform.NoFault, "down": platform.Down, "stale": platform.StaleRead}[d.CmdArgs[0].Key]
-				if c.fault == platform.StaleRead {
-					c.fake.Freeze()
-				}
+				c.setFault(map[string]platform.Fault{"up": platform.NoFault, "down": platform.Down, "stale": platform.StaleRead}[d.CmdArgs[0].Key])
+			case "slow":
+				c.pollDelay = 500 * time.Millisecond
+			case "freeze":
+				c.fake.Freeze()
 			case "cut", "heal":
-				for _, n := range c.instances {
-					if n.zone == d.CmdArgs[0].Key {
-						n.cut = d.Cmd == "cut"
-					}
-				}
-				c.membership()
+				c.cut(d.CmdArgs[0].Key, d.Cmd == "cut")
 			case "advance":
 				duration, err := time.ParseDuration(d.CmdArgs[0].Key)
 				qt.Assert(t, err, qt.IsNil)
 				c.advance(duration)
+				slices.Sort(c.log) // the order depends on the jitter only
 				return strings.Join(c.log, "\n") + "\n" + c.versions()
 			default:
 				t.Fatalf("unknown command %q", d.Cmd)
@@ -275,39 +327,36 @@
 func TestClusterRandom(t *testing.T) {
 	for seed := range uint64(40) {
 		c := newCluster(t, seed)
+		c.varied = true
 		zones := []string{"a", "b"}
 		for i := range 8 {
 			c.start(fmt.Sprint("n", i), zones[i%2])
 		}
 		revision := configuration.Revision(0)
 		for range 60 {
-			switch c.random.IntN(8) {
+			switch c.random.IntN(9) {
 			case 0, 1:
 				c.commit(t, fmt.Sprint("c-", revision), revision)
 				revision++
 			case 2:
-				c.fault = platform.Down
+				c.setFault(platform.Down)
 			case 3:
+				c.setFault(platform.StaleRead)
+			case 8:
 				c.fake.Freeze()
-				c.fault = platform.StaleRead
 			case 4:
-				c.fault = platform.NoFault
+				c.setFault(platform.NoFault)
 			case 5, 6:
-				cut := c.random.IntN(2) == 0
-				for _, n := range c.instances {
-					n.cut = cut && n.zone == "a"
-				}
-				c.membership()
+				c.cut("a", c.random.IntN(2) == 0)
 			case 7:
 				c.start(fmt.Sprint("n", c.random.IntN(8)), "")
 			}
-			c.advance(time.Duration(c.random.IntN(3000)) * time.Millisecond)
-		}
-		for _, n := range c.instances {
-			n.cut = false
+			if c.random.IntN(3) > 0 { // otherwise the next fault comes at once
+				c.advance(time.Duration(c.random.IntN(3000)) * time.Millisecond)
+			}
 		}
-		c.membership()
-		c.fault = platform.NoFault
+		c.cut("a", false)
+		c.setFault(platform.NoFault)
 		c.advance(9 * time.Second)
 		for _, n := range c.instances {
 			qt.Assert(t, n.replica.Version(), qt.Equals, configuration.Version(revision)+1, qt.Commentf("seed %d, %s", seed, n.name))
--- a/configuration/replica_test.go
+++ b/configuration/replica_test.go
@@ -129,40 +129,78 @@
 	qt.Assert(t, ahead.Since(1).Snapshot, qt.IsTrue)
 }
 
-// Guards against a snapshot that mixes versions because the table changed, or was read out of date, between its pages.
-func TestSnapshotDuringChanges(t *testing.T) {
+// Guards against a snapshot or a part of the log that mixes versions because the table changed, its log was trimmed, or it
+// was read out of date, between the pages.
+func TestReadDuringChanges(t *testing.T) {
 	for at := 1; at <= 12; at++ {
-		for _, fault := range []platform.Fault{platform.NoFault, platform.StaleRead} {
-			fake, s := newTable(t)
-			steps, changing := 0, false
-			fake.Inject(func(context.Context, platform.OperationKind) platform.Fault {
-				if changing {
-					return platform.NoFault
-				}
-				steps++
-				if steps == at {
-					changing = true
-					defer func() { changing = false }()
-					_, err := s.Commit(context.Background(), customerChange("c-2", 1, 20))
-					qt.Assert(t, err, qt.IsNil)
-				}
-				if steps >= at {
-					return fault
-				}
-				return platform.NoFault
-			})
-			u, err := s.Since(context.Background(), 0)
-			if err != nil {
-				qt.Assert(t, configuration.Unavailable.Has(err), qt.IsTrue)
-				continue
+		for since := range configuration.Version(2) {
+			for changes := 1; changes <= 4; changes++ {
+				checkReadDuringChanges(t, at, since, changes, platform.NoFault)
+				checkReadDuringChanges(t, at, since, changes, platform.StaleRead)
+			}
+		}
+	}
+}
+
+// checkReadDuringChanges reads from a version while other changes are committed before the given step; from there on the
+// reads have the fault.
+func checkReadDuringChanges(t *testing.T, at int, since configuration.Version, changes int, fault platform.Fault) {
+	fake, s := newTable(t)
+	ctx := context.Background()
+	replica := configuration.NewReplica()
+	if since > 0 {
+		u, err := configuration.NewWithLog(staleTable{fake}, 2).Since(ctx, 0)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, replica.Apply(u.Version, u.Objects, u.Snapshot), qt.IsNil)
+		qt.Assert(t, replica.Version(), qt.Equals, since)
+	}
+	steps, changing := 0, false
+	fake.Inject(func(context.Context, platform.OperationKind) platform.Fault {
+		if changing {
+			return platform.NoFault
+		}
+		steps++
+		if steps == at {
+			changing = true
+			defer func() { changing = false }()
+			for i := range changes {
+				c := customerChange(configuration.ChangeID(fmt.Sprint("c-2", i)), configuration.Revision(i+1), 20+i)
+				_, err := s.Commit(ctx, c)
+				qt.Assert(t, err, qt.IsNil)
 			}
-			r := configuration.NewReplica()
-			qt.Assert(t, r.Apply(u.Version, u.Objects, u.Snapshot), qt.IsNil)
-			want := map[configuration.Version]configuration.Revision{1: 0, 2: 1, 3: 2}[u.Version]
-			o, _ := r.Show(configuration.Customer, "club-17")
-			qt.Assert(t, o.Revision, qt.Equals, want, qt.Commentf("step %d fault %v version %d", at, fault, u.Version))
 		}
+		if steps >= at {
+			return fault
+		}
+		return platform.NoFault
+	})
+	u, err := s.Since(ctx, since)
+	if err != nil {
+		qt.Assert(t, configuration.Unavailable.Has(err), qt.IsTrue)
+		return
 	}
+	comment := qt.Commentf("step %d, since %d, %d changes, fault %v, version %d", at, since, changes, fault, u.Version)
+	qt.Assert(t, replica.Apply(u.Version, u.Objects, u.Snapshot), qt.IsNil, comment)
+	o, _ := replica.Show(configuration.Customer, "club-17")
+	qt.Assert(t, o.Revision+1, qt.Equals, configuration.Revision(replica.Version()), comment)
+}
+
+// staleTable reads the state that the fake keeps for stale reads.
+type staleTable struct{ *platform.Fake }
+
+func (s staleTable) Read(ctx context.Context, keys []platform.Key) ([]platform.Row, error) {
+	defer s.stale()()
+	return s.Fake.Read(ctx, keys)
+}
+
+func (s staleTable) Scan(ctx context.Context, prefix, after platform.Key, limit int) ([]platform.Row, error) {
+	defer s.stale()()
+	return s.Fake.Scan(ctx, prefix, after, limit)
+}
+
+func (s staleTable) stale() (end func()) {
+	s.Inject(func(context.Context, platform.OperationKind) platform.Fault { return platform.StaleRead })
+	return func() { s.Inject(nil) }
 }
 
 // Guards against an allocation or a lock on the path of each call.
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -105,8 +105,12 @@
 	fingerprint := request.FingerprintOf("", "", "", []byte(a.body))
 	var decision session.Decision
 	if a.path == "" {
+		ticket := w.tickets[a.ticket]
+		if d.HasArg("incarnation") {
+			ticket.Incarnation++
+		}
 		decision = w.node(d).Begin(w.now, session.Send{
-			Ticket: w.tickets[a.ticket], Sequence: a.sequence, Attempt: a.attempt, Fingerprint: fingerprint,
+			Ticket: ticket, Sequence: a.sequence, Attempt: a.attempt, Fingerprint: fingerprint,
 			Waiter: a.waiter, Forwarded: d.HasArg("forwarded"),
 		})
 	} else {
