session: shorten the scripts

Change: a directive holds several commands; the commands and their results are the same as before, which a comparison of the recorded results showed. Conclusion: the scripts are shorter and check the same.

--- a/configuration/poller_test.go
+++ b/configuration/poller_test.go
@@ -264,17 +264,43 @@
 	return fmt.Sprintf("version %d", o.Version)
 }
 
+// versions returns the states of all instances, those with the same state in one line.
 func (c *cluster) versions() string {
-	var b strings.Builder
+	states := map[string][]string{}
 	for _, name := range c.names() {
 		n := c.instances[name]
 		rate := "none"
 		if p, err := n.replica.Policy("club-17", "racedesk", "record-arrival"); err == nil {
 			rate = fmt.Sprint(p.RatePerSecond)
 		}
-		fmt.Fprintf(&b, "%s version=%d rate=%s ready=%t\n", name, n.replica.Version(), rate, n.poller.Ready())
+		state := fmt.Sprintf("version %d rate %s ready %t", n.replica.Version(), rate, n.poller.Ready())
+		states[state] = append(states[state], name)
 	}
-	return b.String()
+	var lines []string
+	for state, names := range states {
+		lines = append(lines, strings.Join(names, " ")+": "+state)
+	}
+	slices.Sort(lines)
+	return strings.Join(lines, "; ")
+}
+
+// runLines runs scripts whose directives hold commands separated by ';', and prints their results separated by '|', in one
+// line for each line of commands.
+func runLines(t *testing.T, path string, run func(t *testing.T, d *datadriven.TestData) string) {
+	datadriven.RunTest(t, path, func(t *testing.T, block *datadriven.TestData) string {
+		var out strings.Builder
+		for line := range strings.SplitSeq(block.Input, "\n") {
+			var results []string
+			for command := range strings.SplitSeq(strings.TrimSuffix(line, ";"), ";") {
+				cmd, args, err := datadriven.ParseLine(command)
+				qt.Assert(t, err, qt.IsNil)
+				result := strings.TrimSpace(run(t, &datadriven.TestData{Pos: block.Pos, Cmd: cmd, CmdArgs: args}))
+				results = append(results, strings.ReplaceAll(result, "\n", ", "))
+			}
+			fmt.Fprintln(&out, strings.Join(results, " | "))
+		}
+		return out.String()
+	})
 }
 
 // Guards against a replica that reverts, a node that serves an older configuration than it can reach, and a change that
@@ -283,7 +309,7 @@
 	datadriven.Walk(t, "testdata/cluster", func(t *testing.T, path string) {
 		c := newCluster(t, 1)
 		revision := configuration.Revision(0)
-		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+		runLines(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			c.t = t
 			c.log = nil
 			switch d.Cmd {
@@ -313,7 +339,7 @@
 				qt.Assert(t, err, qt.IsNil)
 				c.advance(duration)
 				slices.Sort(c.log) // the order depends on the jitter only
-				return strings.Join(c.log, "\n") + "\n" + c.versions()
+				return strings.Join(append(c.log, c.versions()), "; ")
 			default:
 				t.Fatalf("unknown command %q", d.Cmd)
 			}
--- a/session/claim_test.go
+++ b/session/claim_test.go
@@ -120,7 +120,7 @@
 func TestClaims(t *testing.T) {
 	datadriven.Walk(t, "testdata/claims", func(t *testing.T, path string) {
 		w := newClaimWorld(t)
-		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+		runLines(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			w.t = t
 			name, key, waiter, fault := "n1", "k", 0, ""
 			d.MaybeScanArgs(t, "node", &name)
@@ -150,7 +150,8 @@
 				t.Fatalf("unknown command %q", d.Cmd)
 			}
 			for _, a := range n.pending {
-				fmt.Fprintf(&w.log, "%s pending %T\n", n.name, a)
+				name := strings.TrimSuffix(strings.TrimPrefix(fmt.Sprintf("%T", a), "session."), "Claims")
+				fmt.Fprintf(&w.log, "%s next %s\n", n.name, strings.ToLower(name))
 			}
 			return w.log.String()
 		})
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -164,12 +164,31 @@
 	return fmt.Sprintf("waiters %v: %s", ended.Waiters, describe(ended.Decision))
 }
 
+// runLines runs scripts whose directives hold commands separated by ';', and prints their results separated by '|', in one
+// line for each line of commands.
+func runLines(t *testing.T, path string, run func(t *testing.T, d *datadriven.TestData) string) {
+	datadriven.RunTest(t, path, func(t *testing.T, block *datadriven.TestData) string {
+		var out strings.Builder
+		for line := range strings.SplitSeq(block.Input, "\n") {
+			var results []string
+			for command := range strings.SplitSeq(strings.TrimSuffix(line, ";"), ";") {
+				cmd, args, err := datadriven.ParseLine(command)
+				qt.Assert(t, err, qt.IsNil)
+				result := strings.TrimSpace(run(t, &datadriven.TestData{Pos: block.Pos, Cmd: cmd, CmdArgs: args}))
+				results = append(results, strings.ReplaceAll(result, "\n", ", "))
+			}
+			fmt.Fprintln(&out, strings.Join(results, " | "))
+		}
+		return out.String()
+	})
+}
+
 // Guards against an effect that runs twice and an outcome that claims more than is known, when sends are repeated, delayed,
 // sent through other nodes, or arrive after a pause, a restart or an eviction.
 func TestSessions(t *testing.T) {
 	datadriven.Walk(t, "testdata/sessions", func(t *testing.T, path string) {
 		w := newWorld(t)
-		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+		runLines(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			w.t = t
 			switch d.Cmd {
 			case "start":
