--- a/node/configure.go
+++ b/node/configure.go
@@ -16,8 +16,6 @@
 const (
 	// memberPrefix begins the keys of the rows that instances write at their start.
 	memberPrefix = "member/"
-	// scanLimit is the number of rows of one scan.
-	scanLimit = 500
 	// joinTime gives the first exchange with the seeds time to end; it is two ticks of the membership.
 	joinTime = 400 * time.Millisecond
 	// announceInterval is the time between two attempts to write the row while the platform is down.
@@ -79,7 +77,7 @@
 	}
 	var rows []member.Member
 	for after := platform.Key(""); ; {
-		page, err := n.table.Scan(ctx, memberPrefix, after, scanLimit)
+		page, err := n.table.Scan(ctx, memberPrefix, after, platform.MaxRows)
 		if err != nil {
 			return err
 		}
@@ -89,7 +87,7 @@
 			}
 			after = row.Key
 		}
-		if len(page) < scanLimit {
+		if len(page) < platform.MaxRows {
 			break
 		}
 	}
