sapphiretack-load: add up the attempts and retries of the nodes

Cause: the demo printed the resends of callers, but not the retries of nodes.

Change: command counters reads the metrics of all nodes of a deployment.

--- a/cmd/sapphiretack-load/main.go
+++ b/cmd/sapphiretack-load/main.go
@@ -2,8 +2,9 @@
 //
 //	sapphiretack-load send --deployment deployments/golubarnik-small/deployment.json \
 //	  --mix deployments/golubarnik-small/load.json --customer sofia-club --callers 60 --rate 200 --duration 5s
-//	sapphiretack-load twice run/executions-*.jsonl
-//	sapphiretack-load trace run/spans-*.json
+//	sapphiretack-load twice -- run/executions-*.jsonl
+//	sapphiretack-load trace -- run/spans-*.json
+//	sapphiretack-load counters --deployment deployments/golubarnik-small/deployment.json
 //
 // The exit status is 0 on success, 1 on an error, 2 if the command line is
 // wrong, and 3 if an effect ran twice or an answer was wrong.
@@ -56,7 +57,10 @@
 	var files []string
 	twice := filesCommand(&files, "twice", "count effects that ran twice in the execution logs of stand-in backend servers")
 	trace := filesCommand(&files, "trace", "print the longest trace in span files as text")
-	for _, sub := range []*flaggy.Subcommand{send, twice, trace} {
+	counters := flaggy.NewSubcommand("counters")
+	counters.Description = "add up the attempts and retries that the nodes of a deployment count"
+	counters.String(&f.deployment, "d", "deployment", "deployment file (required)")
+	for _, sub := range []*flaggy.Subcommand{send, twice, trace, counters} {
 		parser.AttachSubcommand(sub, 1)
 	}
 	if err := parser.Parse(); err != nil {
@@ -69,6 +73,8 @@
 		exit(f.send())
 	case twice.Used:
 		exit(countTwice(files))
+	case counters.Used:
+		exit(printCounters(f.deployment))
 	case trace.Used:
 		exit(printTrace(files))
 	}
