settings: remove fields that nothing reads

Cause: timeouts.connect_ms, default_call_ms and longest_call_ms and backend.load_path were read and checked, but no package used them.

Change: they are removed; every template states a timeout for each operation, and a node sees the load of its backend server itself.

--- a/settings/read.go
+++ b/settings/read.go
@@ -54,11 +54,7 @@
 	s.Log = section(o, "log", readLog)
 	s.Trace = section(o, "trace", readTrace)
 	s.Timeouts = section(o, "timeouts", readTimeouts)
-	s.Stop = o.duration("stop_ms", defaultStop, time.Second, 10*time.Minute)
-	if s.Stop < s.Timeouts.LongestCall {
-		o.add("stop_ms", fmt.Sprintf("found %d, which is below timeouts.longest_call_ms (%d)", s.Stop.Milliseconds(), s.Timeouts.LongestCall.Milliseconds()),
-			"write at least timeouts.longest_call_ms, since a stop interrupts no request in flight")
-	}
+	s.Stop = o.duration("stop_ms", defaultStop, minStop, 10*time.Minute)
 }
 
 func readInstance(o *object) Instance {
@@ -137,7 +133,6 @@
 	}
 	b.ColdStart = o.duration("cold_start_ms", 0, 0, 10*time.Minute)
 	b.HealthPath = readPath(o, "health_path", "/health")
-	b.LoadPath = readPath(o, "load_path", "/load")
 	return b
 }
 
@@ -245,17 +240,9 @@
 }
 
 func readTimeouts(o *object) Timeouts {
-	t := Timeouts{
-		Header:      o.duration("header_ms", defaultHeaderTimeout, 10*time.Millisecond, time.Minute),
-		Body:        o.duration("body_ms", defaultBodyTimeout, 10*time.Millisecond, time.Minute),
-		Idle:        o.duration("idle_ms", defaultIdleTimeout, 100*time.Millisecond, time.Hour),
-		Connect:     o.duration("connect_ms", defaultConnectTimeout, time.Millisecond, time.Minute),
-		LongestCall: o.duration("longest_call_ms", longestCallTimeout, time.Millisecond, longestCallTimeout),
-	}
-	t.DefaultCall = o.duration("default_call_ms", min(defaultCallTimeout, t.LongestCall), time.Millisecond, longestCallTimeout)
-	if t.DefaultCall > t.LongestCall {
-		o.add("default_call_ms", fmt.Sprintf("found %d, which is above longest_call_ms (%d)", t.DefaultCall.Milliseconds(), t.LongestCall.Milliseconds()),
-			"lower it or raise longest_call_ms")
+	return Timeouts{
+		Header: o.duration("header_ms", defaultHeaderTimeout, 10*time.Millisecond, time.Minute),
+		Body:   o.duration("body_ms", defaultBodyTimeout, 10*time.Millisecond, time.Minute),
+		Idle:   o.duration("idle_ms", defaultIdleTimeout, 100*time.Millisecond, time.Hour),
 	}
-	return t
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -47,7 +47,6 @@
 	Connections int           // connections that it accepts
 	ColdStart   time.Duration // time from its start until it serves at full rate
 	HealthPath  string
-	LoadPath    string
 }
 
 // Platform says where the table service and the object store are.
@@ -90,12 +89,9 @@
 
 // Timeouts bound how long the node waits.
 type Timeouts struct {
-	Header      time.Duration // for the headers of a request
-	Body        time.Duration // for the body of a request
-	Idle        time.Duration // for the next request on a connection
-	Connect     time.Duration // for a connection to a peer or the backend server
-	DefaultCall time.Duration // deadline of a call that names none
-	LongestCall time.Duration // longest deadline that a caller can ask for
+	Header time.Duration // for the headers of a request
+	Body   time.Duration // for the body of a request
+	Idle   time.Duration // for the next request on a connection
 }
 
 // The defaults and bounds. The bounds on sizes, streams and tickets are those of docs/design.md, section 4.14.
@@ -112,13 +108,10 @@
 	defaultHeaderTimeout   = 5 * time.Second
 	defaultBodyTimeout     = 10 * time.Second
 	defaultIdleTimeout     = 2 * time.Minute
-	defaultConnectTimeout  = time.Second
-	defaultCallTimeout     = 5 * time.Second
 
-	// A destination remembers withdrawn attempts for 300 s, which must be well above the longest deadline.
-	longestCallTimeout = 60 * time.Second
-
-	// The default stop bound is the longest deadline plus the 3 s in which sources hear that the instance leaves, and
-	// one second of margin, so that a planned stop interrupts no request.
-	defaultStop = longestCallTimeout + 4*time.Second
+	// The default stop bound is the longest deadline (60 s) plus the 3 s in which sources hear that the instance leaves,
+	// and one second of margin, so that a planned stop interrupts no request.
+	defaultStop = 64 * time.Second
+	// A shorter bound would end while sources still hear of the departure.
+	minStop = 4 * time.Second
 )
