sapphiretack: add customer withdraw, and answer unknown paths in JSON

Cause: a template that customers name cannot be withdrawn before these customers, and the command line could not withdraw a customer. An unknown path of the operator listener was answered in plain text. explain printed a level of 0 for requests that are refused for another reason than load.

Change: command customer withdraw, a JSON error for unknown paths, and no level line where there is no level.

Conclusion: each remedy that the store names can be followed on the command line.

--- a/cmd/sapphiretack/configuration.go
+++ b/cmd/sapphiretack/configuration.go
@@ -48,7 +48,7 @@
 	template := flaggy.NewSubcommand("template")
 	template.Description = "publish, change, withdraw or show a template"
 	customer := flaggy.NewSubcommand("customer")
-	customer.Description = "set or show a customer"
+	customer.Description = "set, withdraw or show a customer"
 	parser.AttachSubcommand(template, 1)
 	parser.AttachSubcommand(customer, 1)
 
@@ -63,6 +63,8 @@
 	set := newCommand(customer, output, "set", "set the parameters of a customer",
 		"sapphiretack customer set sofia-club customer.json",
 		"sapphiretack customer set sofia-club customer.json --revision 5")
+	withdrawCustomer := newCommand(customer, output, "withdraw", "withdraw a customer; its requests are refused",
+		"sapphiretack customer withdraw sofia-club --revision 5")
 	showCustomer := newCommand(customer, output, "show", "show the present parameters of a customer",
 		"sapphiretack customer show sofia-club")
 	return []command{
@@ -71,6 +73,7 @@
 		commitCommand(withdraw, operator.KindTemplate, revisionOnly),
 		showCommand(show, operator.KindTemplate),
 		commitCommand(set, operator.KindCustomer, documentAndOptionalRevision),
+		commitCommand(withdrawCustomer, operator.KindCustomer, revisionOnly),
 		showCommand(showCustomer, operator.KindCustomer),
 	}
 }
--- a/cmd/sapphiretack/print.go
+++ b/cmd/sapphiretack/print.go
@@ -155,7 +155,10 @@
 		if e.Class != "" {
 			fmt.Fprintf(w, "class %s, priorities %d to %d; lower ones are more important\n", e.Class, e.PriorityFirst, e.PriorityLast)
 		}
-		fmt.Fprintf(w, "level %d: requests with a lower priority number are admitted\n", e.Level)
+		// A request that is refused for another reason than load has no level.
+		if e.Level > 0 || e.LimitingService != "" {
+			fmt.Fprintf(w, "level %d: requests with a lower priority number are admitted\n", e.Level)
+		}
 		if e.LimitingService != "" {
 			fmt.Fprintf(w, "limited by service %s\n", e.LimitingService)
 		}
--- a/operator/handler.go
+++ b/operator/handler.go
@@ -64,6 +64,9 @@
 	mux.HandleFunc("GET /health", reply(func(*http.Request) (any, error) { return health{"ok"}, nil }))
 	mux.HandleFunc("GET /ready", reply(h.ready))
 	mux.Handle("GET /metrics", s.Metrics)
+	mux.HandleFunc("/", reply(func(r *http.Request) (any, error) {
+		return nil, &Error{Kind: NotFound, Message: fmt.Sprintf("%s %s is not part of the operator interface", r.Method, r.URL.Path), Remedy: "see docs/operators.md"}
+	}))
 	return mux
 }
 
