--- a/cmd/sapphiretack/process_call_test.go
+++ b/cmd/sapphiretack/process_call_test.go
@@ -99,17 +99,28 @@
 	if session := argument(d, "session"); session != "" {
 		r.Header.Set("Sapphiretack-Ticket", f.tickets[session])
 	}
-	result := make(chan string, 1)
-	f.sends[name] = result
+	result, part := make(chan string, 1), make(chan struct{})
+	f.sends[name], f.parts[name] = result, part
 	f.group.Go(func() error {
 		defer cancel()
-		result <- call(r)
+		result <- call(r, part)
 		return nil
 	})
 }
 
-// call returns the outcome as a caller sees it.
-func call(r *http.Request) string {
+// partSignal closes a channel when the first bytes arrive.
+type partSignal struct{ arrived chan struct{} }
+
+func (p *partSignal) Write(b []byte) (int, error) {
+	if p.arrived != nil {
+		close(p.arrived)
+		p.arrived = nil
+	}
+	return len(b), nil
+}
+
+// call returns the outcome as a caller sees it, and closes the channel when the first part of the response arrives.
+func call(r *http.Request, part chan struct{}) string {
 	// A connection of its own, so that a killed node shows as it does to a caller that stayed connected to it.
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(r)
@@ -117,9 +128,9 @@
 		return "connection lost"
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := io.ReadAll(io.TeeReader(response.Body, &partSignal{arrived: part}))
 	if err != nil {
-		return "connection lost"
+		return fmt.Sprintf("connection lost after %d parts", strings.Count(string(body), "\n"))
 	}
 	if outcome := response.Trailer.Get("Sapphiretack-Outcome"); outcome != "" {
 		return fmt.Sprintf("%s, status %d, %d parts", outcome, response.StatusCode, strings.Count(string(body), "\n"))
--- a/cmd/sapphiretack/process_test.go
+++ b/cmd/sapphiretack/process_test.go
@@ -36,6 +36,7 @@
 	processes  map[string]*exec.Cmd
 	tickets    map[string]string
 	sends      map[string]chan string
+	parts      map[string]chan struct{}
 	group      errgroup.Group // of the sends
 }
 
@@ -58,7 +59,7 @@
 func newFleet(t *testing.T, bin string) *fleet {
 	f := &fleet{
 		t: t, bin: bin, dir: t.TempDir(),
-		processes: map[string]*exec.Cmd{}, tickets: map[string]string{}, sends: map[string]chan string{},
+		processes: map[string]*exec.Cmd{}, tickets: map[string]string{}, sends: map[string]chan string{}, parts: map[string]chan struct{}{},
 	}
 	text, err := os.ReadFile("testdata/deployment.json")
 	qt.Assert(t, err, qt.IsNil)
@@ -126,6 +127,8 @@
 		f.send(d)
 	case "began":
 		f.execution(argument(d, "id"))
+	case "part":
+		f.part(argument(d, "id"))
 	case "outcome":
 		outcome := f.outcome(argument(d, "id"))
 		if d.HasArg("without_reason") {
@@ -293,6 +296,18 @@
 	return found[len(found)-1]
 }
 
+// part waits until the first part of a response has arrived.
+func (f *fleet) part(name string) {
+	f.poll("part of "+name, func() bool {
+		select {
+		case <-f.parts[name]:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 func (f *fleet) poll(what string, done func() bool) {
 	for range pollSteps {
 		if done() {
