--- a/member/command.go
+++ b/member/command.go
@@ -43,10 +43,15 @@
 	tokens     float64
 	refilledAt request.Instant
 
+	// suspectZone is another zone in which a member was suspected, until suspectZoneUntil.
+	suspectZone      request.ZoneID
+	suspectZoneUntil request.Instant
+
 	nextProbe     request.Instant
 	nextRepair    request.Instant
 	nextReconnect request.Instant
 	nextDeadline  request.Instant
+	nextChanged   request.Instant
 }
 
 // seenVersion is the configuration version that was last announced to the shell.
@@ -97,8 +102,9 @@
 	case ConfigurationApplied:
 		m.configurationApplied(e.Version)
 	}
-	if m.changed {
+	if m.changed && m.now >= m.nextChanged {
 		m.changed = false
+		m.nextChanged = m.now.Add(m.settings.ChangedInterval)
 		m.emit(Changed{})
 	}
 	out, m.out = m.out, nil
@@ -184,7 +190,7 @@
 	var reply Message
 	if e.Kind == GossipRequest && e.Message.Probe == "" {
 		// Composed before the merge, so that the updates of the request do not use up transmissions on their sender.
-		reply = m.compose(m.list.find(e.Message.From))
+		reply = m.composeReply(m.list.find(e.Message.From))
 	}
 	m.merge(&e.Message)
 	switch e.Kind {
