faultmatrix: use plain names and say what counts as unknown

Cause: two names were figurative, and a caller that was told nothing was counted as told unknown without the page saying so.

--- a/faultmatrix/caller.go
+++ b/faultmatrix/caller.go
@@ -57,7 +57,7 @@
 	kind        Kind
 	fingerprint request.Fingerprint
 	subject     bool
-	poison      bool
+	crashing    bool
 	impatient   bool // resends at once and gives up its connection early
 
 	ticket session.Ticket
@@ -92,7 +92,7 @@
 	}
 	w.after(subjectAt, func() {
 		q := w.newRequest(w.options.Subject)
-		q.subject, q.poison = true, w.fault.includes(CrashingRequest)
+		q.subject, q.crashing = true, w.fault.includes(CrashingRequest)
 		q.first = w.subjectNode()
 		q.connect()
 	})
@@ -276,12 +276,12 @@
 // again sends the content that crashes backend servers once more, as a new request.
 func (q *callerRequest) again() {
 	w := q.world
-	if !q.poison || w.poisoned >= maxSends {
+	if !q.crashing || w.crashResends >= maxSends {
 		return
 	}
-	w.poisoned++
+	w.crashResends++
 	next := w.newRequest(q.kind)
-	next.poison, next.fingerprint, next.first = true, q.fingerprint, q.first
+	next.crashing, next.fingerprint, next.first = true, q.fingerprint, q.first
 	w.after(minResendWait, next.connect)
 }
 
--- a/faultmatrix/fault.go
+++ b/faultmatrix/fault.go
@@ -111,8 +111,8 @@
 // includes reports whether a fault is among the faults.
 func (a *armed) includes(f Fault) bool { return a != nil && slices.Contains(a.faults, f) }
 
-// poisonStep is the step at which a crashing request crashes its backend server.
-func (w *World) poisonStep() Step {
+// crashStep is the step at which a crashing request crashes its backend server.
+func (w *World) crashStep() Step {
 	if w.fault.has(FirstPart) || w.fault.has(LastPart) {
 		return w.fault.step
 	}
@@ -137,7 +137,7 @@
 
 // reached tells that a request is at a step: at its source, and at its destination if that is known. Only the first service counts.
 func (w *World) reached(s Step, q *callerRequest, depth int, source, dest *node) {
-	if q.poison && depth == 0 && s == w.poisonStep() && (q.sends > 1 || !w.fault.has(CallerResend)) {
+	if q.crashing && depth == 0 && s == w.crashStep() && (q.sends > 1 || !w.fault.has(CallerResend)) {
 		w.record.crashes[q.fingerprint]++
 		w.after(0, dest.backend.crash)
 	}
--- a/faultmatrix/property_test.go
+++ b/faultmatrix/property_test.go
@@ -67,7 +67,7 @@
 
 // Guards against a request that takes down more than two backend servers, alone or together with another fault.
 func TestCrashLimit(t *testing.T) {
-	const poison = faultmatrix.CrashingRequest
+	const crashing = faultmatrix.CrashingRequest
 	for _, g := range faultmatrix.Faults() {
 		t.Run(g.String(), func(t *testing.T) {
 			t.Parallel()
@@ -77,7 +77,7 @@
 					Load:    load,
 					Subject: subjects[seed%3],
 					Step:    faultmatrix.Running,
-					Faults:  []faultmatrix.Fault{poison, g},
+					Faults:  []faultmatrix.Fault{crashing, g},
 				})
 				w.Run(faultmatrix.RunTime)
 				for _, v := range w.Violations() {
--- a/faultmatrix/record.go
+++ b/faultmatrix/record.go
@@ -41,7 +41,7 @@
 	summary Summary
 }
 
-// Summary counts what callers were told last, and the attempts at all depths.
+// Summary counts what callers were told last, and the attempts at all depths. A caller that was told nothing counts as unknown.
 type Summary struct {
 	Requests, Answered      int
 	Effects, UnknownEffects int
--- a/faultmatrix/stream_test.go
+++ b/faultmatrix/stream_test.go
@@ -33,7 +33,7 @@
 type streams struct {
 	random   *rand.Rand
 	now      request.Instant
-	chaos    float64
+	disorder float64
 	weakened bool
 	number   uint64
 	inFlight []*response
@@ -101,20 +101,20 @@
 	i := s.random.IntN(len(s.inFlight))
 	r := s.inFlight[i]
 	at := 0
-	if s.random.Float64() < s.chaos {
+	if s.random.Float64() < s.disorder {
 		at = s.random.IntN(len(r.events))
 	}
 	e := r.events[at]
-	if s.random.Float64() >= s.chaos {
+	if s.random.Float64() >= s.disorder {
 		r.events = append(r.events[:at], r.events[at+1:]...)
 	}
-	if s.random.Float64() < s.chaos/2 {
+	if s.random.Float64() < s.disorder/2 {
 		// The stream breaks; what was under way arrives after that.
 		if p, ok := e.(call.Part); ok {
 			r.caller.deliver(call.Broken{Attempt: p.Attempt})
 		}
 	}
-	if len(r.events) == 0 || s.random.Float64() < s.chaos/8 {
+	if len(r.events) == 0 || s.random.Float64() < s.disorder/8 {
 		s.inFlight[i] = s.inFlight[len(s.inFlight)-1]
 		s.inFlight = s.inFlight[:len(s.inFlight)-1]
 	}
@@ -143,10 +143,10 @@
 // Guards against a response that is not whole, or is mixed from two attempts, when thousands of streams are reordered, repeated, delayed and cut.
 func TestWholeAnswers(t *testing.T) {
 	datadriven.RunTest(t, "testdata/streams", func(t *testing.T, d *datadriven.TestData) string {
-		var count, chaos int
+		var count, disorder int
 		d.ScanArgs(t, "streams", &count)
-		d.ScanArgs(t, "chaos", &chaos)
-		s := &streams{random: rand.New(rand.NewPCG(3, uint64(chaos))), chaos: float64(chaos) / 100, weakened: d.HasArg("weakened")}
+		d.ScanArgs(t, "disorder", &disorder)
+		s := &streams{random: rand.New(rand.NewPCG(3, uint64(disorder))), disorder: float64(disorder) / 100, weakened: d.HasArg("weakened")}
 		callers := make([]*streamCaller, count)
 		for i := range callers {
 			c := &streamCaller{streams: s, account: budget.NewAccount(3), parts: uint32(s.random.IntN(6))}
--- a/faultmatrix/world.go
+++ b/faultmatrix/world.go
@@ -109,7 +109,7 @@
 	operators []*operator
 	// isolatedStarts counts nodes that started with an older configuration than their former process because they could not reach it.
 	isolatedStarts int
-	poisoned       int // new requests with the content that crashes backend servers
+	crashResends   int // new requests with the content that crashes backend servers
 }
 
 // accountKey identifies the account of a request at one process.
