configuration: hear each zone peer before a start

Change: after the first poll a start fetches from the zone peers of unknown version, at most 8 at once, and waits until each has responded or failed twice. Conclusion: a restarted node serves the highest version of the platform and all zone peers that respond.

--- a/configuration/poller.go
+++ b/configuration/poller.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sapphiretack/sapphiretack/request"
@@ -20,9 +21,11 @@
 	maxFetchRetry = 8 * time.Second
 	// startFailures is the number of failed fetches after which a start no longer waits for a peer.
 	startFailures = 2
+	// maxAsks is the number of zone peers of unknown version that a start asks at once. Each may send a snapshot.
+	maxAsks = 8
 )
 
-// Peer is another instance as membership knows it.
+// Peer is another instance as membership knows it. Version is 0 if it is not known, as for a row of the platform's table.
 type Peer struct {
 	Instance request.InstanceID
 	Zone     request.ZoneID
@@ -98,6 +101,7 @@
 type peerState struct {
 	zone     request.ZoneID
 	version  Version
+	known    bool // the peer told a version since this instance started
 	failures int
 	retryAt  request.Instant
 }
@@ -108,8 +112,10 @@
 	settings PollSettings
 	random   *rand.Rand
 	peers    map[request.InstanceID]*peerState
-	version  Version // that the replica holds
-	heard    Version // highest version that a peer reported
+	zone     []request.InstanceID        // the peers in the zone, in order of their names
+	asked    map[request.InstanceID]bool // peers that a start asks for their version now
+	version  Version                     // that the replica holds
+	heard    Version                     // highest version that a peer reported
 	joined   bool
 	ready    bool
 	reader   bool
@@ -124,7 +130,11 @@
 
 // NewPoller returns a Poller whose first poll is due at once.
 func NewPoller(s PollSettings, now request.Instant, random *rand.Rand) *Poller {
-	return &Poller{settings: s, random: random, peers: map[request.InstanceID]*peerState{}, reader: true, nextPoll: now, timer: -1}
+	return &Poller{
+		settings: s, random: random,
+		peers: map[request.InstanceID]*peerState{}, asked: map[request.InstanceID]bool{},
+		reader: true, nextPoll: now, timer: -1,
+	}
 }
 
 // Ready reports whether the instance may serve. Once true it stays true.
@@ -152,13 +162,14 @@
 	}
 	out = p.poll(now, out)
 	out = p.fetch(now, out)
+	out = p.ask(now, out)
 	out = p.start(out)
 	return p.setTimer(out)
 }
 
 func (p *Poller) members(now request.Instant, peers []Peer) {
 	present := make(map[request.InstanceID]*peerState, len(peers))
-	var zone []request.InstanceID
+	p.zone = nil
 	p.heard = 0
 	for _, peer := range peers {
 		s := p.peers[peer.Instance]
@@ -167,16 +178,18 @@
 		}
 		s.zone = peer.Zone
 		s.version = max(s.version, peer.Version)
+		s.known = s.known || peer.Version > 0
 		present[peer.Instance] = s
 		p.heard = max(p.heard, s.version)
 		if peer.Zone == p.settings.Zone {
-			zone = append(zone, peer.Instance)
+			p.zone = append(p.zone, peer.Instance)
 		}
 	}
+	slices.Sort(p.zone)
 	p.peers = present
 	p.joined = true
 	wasReader := p.reader
-	p.reader = IsReader(p.settings.Instance, p.settings.Zone, zone)
+	p.reader = IsReader(p.settings.Instance, p.settings.Zone, p.zone)
 	if p.reader && !wasReader {
 		p.nextPoll = min(p.nextPoll, now.Add(p.vary(PollInterval)))
 	}
@@ -184,10 +197,11 @@
 
 func (p *Poller) hear(instance request.InstanceID, v Version) {
 	s := p.peers[instance]
-	if s == nil || v <= s.version {
+	if s == nil {
 		return
 	}
-	s.version = v
+	s.known = true
+	s.version = max(s.version, v)
 	p.heard = max(p.heard, v)
 }
 
@@ -220,7 +234,10 @@
 }
 
 func (p *Poller) fetchEnded(now request.Instant, e Fetched, out []PollAction) []PollAction {
-	p.fetching = ""
+	if p.fetching == e.Instance {
+		p.fetching = ""
+	}
+	delete(p.asked, e.Instance)
 	if e.Err == nil {
 		out = p.advance(e.Version, out)
 	}
@@ -228,6 +245,7 @@
 	if s == nil {
 		return out
 	}
+	s.known = s.known || e.Err == nil
 	if e.Err == nil && p.version >= s.version {
 		s.failures = 0
 		return out
@@ -255,7 +273,7 @@
 	var best request.InstanceID
 	var bestState *peerState
 	for instance, s := range p.peers {
-		if s.version <= p.version || now < s.retryAt {
+		if s.version <= p.version || now < s.retryAt || p.busy(instance) {
 			continue
 		}
 		if bestState == nil || p.better(instance, s, best, bestState) {
@@ -285,14 +303,41 @@
 	return rendezvous(own, a) > rendezvous(own, b)
 }
 
+// ask fetches from the zone peers whose version is not known, since a start must not miss the one that holds the highest.
+// It waits for the first poll, after which their responses are small.
+func (p *Poller) ask(now request.Instant, out []PollAction) []PollAction {
+	if p.ready || !p.polled {
+		return out
+	}
+	for _, instance := range p.zone {
+		if len(p.asked) >= maxAsks {
+			return out
+		}
+		if s := p.peers[instance]; p.unheard(s) && now >= s.retryAt && !p.busy(instance) {
+			p.asked[instance] = true
+			out = append(out, FetchPeer{Instance: instance})
+		}
+	}
+	return out
+}
+
+// busy reports whether a fetch from the peer is under way.
+func (p *Poller) busy(instance request.InstanceID) bool {
+	return p.asked[instance] || p.fetching == instance
+}
+
+// unheard reports whether a start waits to hear the peer's version. A peer that failed to respond is not waited for.
+func (p *Poller) unheard(s *peerState) bool { return !s.known && s.failures < startFailures }
+
 // start applies the start rule: the highest version of the platform and the zone peers; with the platform down, the highest
-// that the zone holds. Without any configuration at hand the instance does not serve.
+// that the zone holds. Each zone peer must have told its version or have failed to respond. Without any configuration at
+// hand the instance does not serve.
 func (p *Poller) start(out []PollAction) []PollAction {
 	if p.ready || !p.joined || !p.polled || !p.reached && p.version == 0 {
 		return out
 	}
-	for _, s := range p.peers {
-		if s.zone == p.settings.Zone && s.version > p.version && s.failures < startFailures {
+	for _, instance := range p.zone {
+		if s := p.peers[instance]; p.unheard(s) || s.version > p.version && s.failures < startFailures {
 			return out
 		}
 	}
@@ -303,13 +348,25 @@
 // setTimer asks for a tick at the next poll or fetch.
 func (p *Poller) setTimer(out []PollAction) []PollAction {
 	at := request.Instant(-1)
+	earlier := func(t request.Instant) {
+		if at < 0 || t < at {
+			at = t
+		}
+	}
 	if !p.polling {
-		at = p.nextPoll
+		earlier(p.nextPoll)
 	}
 	if p.fetching == "" && p.heard > p.version {
-		for _, s := range p.peers {
-			if s.version > p.version && (at < 0 || s.retryAt < at) {
-				at = s.retryAt
+		for instance, s := range p.peers {
+			if s.version > p.version && !p.busy(instance) {
+				earlier(s.retryAt)
+			}
+		}
+	}
+	if !p.ready && p.polled && len(p.asked) < maxAsks {
+		for _, instance := range p.zone {
+			if s := p.peers[instance]; p.unheard(s) && !p.busy(instance) {
+				earlier(s.retryAt)
 			}
 		}
 	}
--- a/configuration/poller_test.go
+++ b/configuration/poller_test.go
@@ -141,7 +141,11 @@
 		var peers []configuration.Peer
 		for _, other := range c.names() {
 			if o := c.instances[other]; o != n && reachable(n, o) {
-				peers = append(peers, configuration.Peer{Instance: request.InstanceID(other), Zone: request.ZoneID(o.zone), Version: o.replica.Version()})
+				peer := configuration.Peer{Instance: request.InstanceID(other), Zone: request.ZoneID(o.zone)}
+				if c.random.IntN(2) == 0 { // otherwise only the platform's row of the peer is known
+					peer.Version = o.replica.Version()
+				}
+				peers = append(peers, peer)
 			}
 		}
 		c.send(n, messageDelay, event(configuration.MembersChanged{Peers: peers}))
@@ -418,3 +422,37 @@
 	}
 	qt.Assert(t, readers(present[:1]), qt.HasLen, 1)
 }
+
+// Guards against a start that waits for zone peers that do not respond, and against one that gives up after one lost response.
+func TestStartWithoutResponses(t *testing.T) {
+	c := newCluster(t, 1)
+	s := configuration.PollSettings{Instance: "n", Zone: "a"}
+	p := configuration.NewPoller(s, 0, c.random)
+	var peers []configuration.Peer
+	for i := range 20 {
+		peers = append(peers, configuration.Peer{Instance: request.InstanceID(fmt.Sprint("dead-", i)), Zone: "a"})
+	}
+	now, fetches := request.Instant(0), map[request.InstanceID]int{}
+	queue := []configuration.PollEvent{
+		configuration.PollTick{}, configuration.MembersChanged{Peers: peers}, configuration.Polled{Version: 3},
+	}
+	for !p.Ready() {
+		qt.Assert(t, len(queue) > 0, qt.IsTrue, qt.Commentf("the poller waits for nothing"))
+		e := queue[0]
+		queue = queue[1:]
+		for _, a := range p.Handle(now, e, nil) {
+			switch a := a.(type) {
+			case configuration.FetchPeer:
+				fetches[a.Instance]++
+				queue = append(queue, configuration.Fetched{Instance: a.Instance, Err: configuration.Unavailable.New("no response")})
+			case configuration.SetPollTimer:
+				now = max(now, a.At)
+				queue = append(queue, configuration.PollTick{})
+			}
+		}
+	}
+	qt.Assert(t, fetches, qt.HasLen, len(peers))
+	for instance, n := range fetches {
+		qt.Assert(t, n, qt.Equals, 2, qt.Commentf("%s", instance))
+	}
+}
