member: keep platform rows provisional until another node confirms them

It offered them to others in the next repair, which brought dead instances back everywhere. While a zone fails, confirmations of suspicions took most of the byte budget. Change: a row is used by the node that read it, but it is in no digest and is not passed on until a message confirms it; unconfirmed ones are dropped after 2 minutes. Conclusion: rows may stay in the table; their number is the limit of the scan at the start.

--- a/member/apply.go
+++ b/member/apply.go
@@ -19,6 +19,9 @@
 		m.add(u, spread)
 		return
 	}
+	if e.provisional && !m.settleBy(e, u) {
+		return
+	}
 	if compare(u, &e.Member) <= 0 {
 		m.confirm(e, u)
 		return
@@ -30,6 +33,47 @@
 	m.change(e, u, spread)
 }
 
+// addProvisional takes over a row of the platform for a while.
+func (m *Membership) addProvisional(row *Member) {
+	e := m.list.insert(*row)
+	e.provisional = true
+	m.schedule(e, m.now.Add(m.settings.ProvisionalTime))
+	m.contacts.stale = true
+	m.changed = true
+}
+
+// settle makes a provisional entry a full one.
+func (e *entry) settle() {
+	if e.provisional {
+		e.provisional = false
+		e.deadline = 0
+	}
+}
+
+// settleBy compares a provisional entry with an update and reports whether the update still has to be applied.
+func (m *Membership) settleBy(e *entry, u *Member) bool {
+	if u.Incarnation < e.Incarnation {
+		return false
+	}
+	e.settle()
+	if u.State != Dead || u.Incarnation > e.Incarnation {
+		return true
+	}
+	// The row is older than the death that the other node knows, so there is nobody to refute it.
+	e.Revision = u.Revision
+	m.declareDead(e)
+	return false
+}
+
+// drop removes a member without a tombstone.
+func (m *Membership) drop(e *entry) {
+	m.list.remove(e)
+	// Contacts and probes that still refer to the entry skip dead members.
+	e.State = Dead
+	m.contacts.stale = true
+	m.changed = true
+}
+
 // add takes over a member that is not known. A state alone does not describe a member, and a dead one is not needed;
 // repair brings the whole record if the member lives.
 func (m *Membership) add(u *Member, spread bool) {
@@ -156,7 +200,10 @@
 	}
 	e.SuspectedBy = by
 	m.schedule(e, e.suspectedAt.Add(m.suspicionTimeout(e)))
-	m.rumours.add(e)
+	// While many members fail, their first suspicions take precedence over confirmations.
+	if m.rumours.pending <= m.settings.MaxUpdates {
+		m.rumours.add(e)
+	}
 }
 
 // addSuspecter reports whether the suspecter is a new one.
@@ -208,7 +255,7 @@
 	m.nextDeadline = never
 	var unchecked, forgotten []*entry
 	for _, e := range m.list.entries {
-		if e.State == Alive || e.deadline == 0 {
+		if e.deadline == 0 {
 			continue
 		}
 		switch {
@@ -216,7 +263,7 @@
 		case e.State == Leaving:
 			m.declareDead(e)
 			m.rumours.add(e)
-		case e.State == Dead:
+		case e.State == Dead || e.provisional:
 			forgotten = append(forgotten, e)
 			continue
 		case e.checked:
@@ -229,9 +276,7 @@
 		m.nextDeadline = min(m.nextDeadline, e.deadline)
 	}
 	for _, e := range forgotten {
-		m.list.remove(e)
-		m.contacts.stale = true
-		m.changed = true
+		m.drop(e)
 	}
 	m.checkLast(unchecked)
 }
--- a/member/cluster_test.go
+++ b/member/cluster_test.go
@@ -19,6 +19,7 @@
 	queue    delivery
 	sequence uint64
 	nodes    []*node
+	zones    int
 	byID     map[request.InstanceID]*node
 	calls    map[member.Exchange]*rpc
 	lastCall member.Exchange
@@ -99,8 +100,9 @@
 	}
 }
 
-// add places instances in zones, four zones a region, and hands each the whole list, as after a bootstrap.
+// add places instances in zones, four zones a region, and hands each the whole list as one message.
 func (c *cluster) add(zones, perZone int) {
+	c.zones = zones
 	var rows []member.Member
 	for i := range zones * perZone {
 		row := c.row(i, i%zones)
@@ -111,7 +113,7 @@
 	}
 	for i, n := range c.nodes {
 		c.start(n, rows[i])
-		c.handle(n, member.Bootstrap{Rows: rows})
+		c.handle(n, member.Received{Kind: member.Notice, Message: member.Message{Members: rows}})
 	}
 }
 
@@ -362,6 +364,10 @@
 	row.State, row.Revision, row.SuspectedBy = member.Alive, 0, ""
 	n.frozen, n.backlog = false, nil
 	c.start(n, row)
+	for i := range rows {
+		// A row holds what the instance wrote at its start.
+		rows[i].State, rows[i].Revision, rows[i].SuspectedBy = member.Alive, 0, ""
+	}
 	c.handle(n, member.Bootstrap{Rows: rows})
 }
 
--- a/member/command.go
+++ b/member/command.go
@@ -179,6 +179,10 @@
 			m.emit(SendGossip{Address: rows[i].Address, Message: m.compose(nil)})
 			continue
 		}
+		if m.list.find(rows[i].Instance) == nil && rows[i].State == Alive && !rows[i].isStateOnly() {
+			m.addProvisional(&rows[i])
+			continue
+		}
 		m.apply(&rows[i], false)
 	}
 	m.nextRepair = m.now
@@ -244,6 +248,7 @@
 	if from == nil || from == m.self {
 		return
 	}
+	from.settle()
 	from.ConfigurationVersion = max(from.ConfigurationVersion, msg.ConfigurationVersion)
 	if msg.ConfigurationVersion <= m.self.ConfigurationVersion {
 		return
--- a/member/event.go
+++ b/member/event.go
@@ -32,7 +32,8 @@
 	Tick struct{}
 
 	// Bootstrap brings the rows that instances wrote to the platform's table, or members known from settings. A member
-	// without an instance is an address to contact.
+	// without an instance is an address to contact. A row is used at once, passed on only when another node confirms it,
+	// and dropped after Settings.ProvisionalTime otherwise, since rows of instances that are gone stay in the table.
 	Bootstrap struct{ Rows []Member }
 
 	// Received brings a message of another node. A GossipRequest has an Exchange, and one Reply follows for it.
--- a/member/list.go
+++ b/member/list.go
@@ -22,6 +22,8 @@
 	confirmed   uint8
 	// checked is set when peers were asked about a suspect whose time is up.
 	checked bool
+	// provisional is set for a row of the platform that no message has confirmed; the instance may be gone for long.
+	provisional bool
 	// rumour is the latest generation of the update in the rumour queue.
 	rumour uint32
 }
@@ -101,12 +103,15 @@
 	return l.entries[from:to]
 }
 
-// digest summarizes the entries of a range. Dead members are left out because nodes forget them at different times, and
-// a suspect counts as alive because suspicions pass by themselves.
+// shared reports whether digests cover the entry. Dead members are left out because nodes forget them at different times,
+// and provisional ones because a node that starts would bring back members that the others have forgotten.
+func (e *entry) shared() bool { return e.State != Dead && !e.provisional }
+
+// digest summarizes the entries of a range. A suspect counts as alive because suspicions pass by themselves.
 func (l *list) digest(first, last uint64) RangeDigest {
 	d := RangeDigest{First: first, Last: last}
 	for _, e := range l.within(first, last) {
-		if e.State == Dead {
+		if !e.shared() {
 			continue
 		}
 		d.Hash += e.summary()
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -31,7 +31,11 @@
 func (s *script) step(t *testing.T, d *datadriven.TestData) string {
 	switch d.Cmd {
 	case "cluster":
-		s.c = newCluster(member.DefaultSettings(), uint64(number(t, d, "seed")))
+		settings := member.DefaultSettings()
+		if d.HasArg("tombstone") {
+			settings.Tombstone = duration(t, d, "tombstone")
+		}
+		s.c = newCluster(settings, uint64(number(t, d, "seed")))
 		s.c.loss, s.c.copies = number(t, d, "loss"), number(t, d, "copies")
 		s.c.jitter = duration(t, d, "jitter")
 		s.c.add(int(number(t, d, "zones")), int(number(t, d, "per-zone")))
@@ -45,7 +49,10 @@
 		s.each(t, d, s.c.resume)
 	case "restart":
 		// The new process reads the rows of the first instances only, as when the rows of the others are not written yet.
-		rows := s.c.nodes[0].Members(nil)[:int(number(t, d, "rows"))]
+		var rows []member.Member
+		for i := range int(number(t, d, "rows")) {
+			rows = append(rows, s.c.row(i, i%s.c.zones))
+		}
 		s.each(t, d, func(n *node) { s.c.restart(n, rows) })
 	case "cut":
 		s.cut(d, 1)
--- a/member/probe.go
+++ b/member/probe.go
@@ -199,6 +199,10 @@
 	if !m.trusted() || e.Incarnation != p.incarnation {
 		return
 	}
+	if e.provisional {
+		m.drop(e)
+		return
+	}
 	switch e.State {
 	case Alive:
 		m.suspect(e, m.self.Instance)
--- a/member/repair.go
+++ b/member/repair.go
@@ -170,7 +170,7 @@
 func (m *Membership) entries(first, last uint64) []uint32 {
 	var hashes []uint32
 	for _, e := range m.list.within(first, last) {
-		if e.State != Dead {
+		if e.shared() {
 			hashes = append(hashes, short(e.summary()))
 		}
 	}
@@ -183,9 +183,11 @@
 	known := 0
 	for _, e := range m.list.within(theirs.First, theirs.Last) {
 		if e.State != Dead {
-			if slices.Contains(theirs.Entries, short(e.summary())) {
+			switch {
+			case slices.Contains(theirs.Entries, short(e.summary())):
 				known++
-			} else {
+				e.settle()
+			case !e.provisional:
 				a.addMember(e.Member)
 			}
 			continue
--- a/member/repair_test.go
+++ b/member/repair_test.go
@@ -52,8 +52,8 @@
 	// Node a knows no other member of its zone, and b alone can be reached; the others are not running.
 	a := member.New(rowsA[0], s, rand.New(rand.NewPCG(1, 1)))
 	b := member.New(rowsB[1], s, rand.New(rand.NewPCG(2, 2)))
-	a.Handle(0, member.Bootstrap{Rows: rowsA}, nil)
-	b.Handle(0, member.Bootstrap{Rows: rowsB}, nil)
+	a.Handle(0, member.Received{Kind: member.Notice, Message: member.Message{Members: rowsA}}, nil)
+	b.Handle(0, member.Received{Kind: member.Notice, Message: member.Message{Members: rowsB}}, nil)
 	var now request.Instant
 	for range 100 {
 		now = now.Add(s.TickInterval)
--- a/member/rumour.go
+++ b/member/rumour.go
@@ -131,7 +131,15 @@
 	return records
 }
 
+// busyMessages is the number of full messages of pending updates at which each update is sent half as often; repair
+// brings the updates that are missed then.
+const busyMessages = 4
+
 // transmissions is the number of times that this node sends one update.
 func (m *Membership) transmissions() int {
-	return max(3, int(math.Ceil(m.settings.RetransmitFactor*math.Log10(float64(len(m.list.entries)+1)))))
+	n := m.settings.RetransmitFactor * math.Log10(float64(len(m.list.entries)+1))
+	if m.rumours.pending > busyMessages*m.settings.MaxUpdates {
+		n /= 2
+	}
+	return max(3, int(math.Ceil(n)))
 }
--- a/member/scale_test.go
+++ b/member/scale_test.go
@@ -249,9 +249,6 @@
 	s.allDead(300 * time.Second)
 	s.traffic()
 	rows := s.c.nodes[1].Members(nil)
-	for i := range rows {
-		rows[i].State = member.Alive
-	}
 	s.begin()
 	for _, n := range stopped {
 		s.c.restart(n, rows)
--- a/member/settings.go
+++ b/member/settings.go
@@ -65,6 +65,8 @@
 	ReconnectInterval time.Duration
 	// ReconnectsPerSecond is the number of attempts of all nodes to reach one dead member.
 	ReconnectsPerSecond float64
+	// ProvisionalTime is the time for which a row of the platform is kept without confirmation.
+	ProvisionalTime time.Duration
 	// Tombstone is the time for which a dead member is remembered.
 	Tombstone time.Duration
 
@@ -121,6 +123,7 @@
 
 		ReconnectInterval:   5 * time.Second,
 		ReconnectsPerSecond: 0.5,
+		ProvisionalTime:     2 * time.Minute,
 		Tombstone:           time.Hour,
 
 		FreezeGap:       2 * time.Second,
--- a/member/transport_test.go
+++ b/member/transport_test.go
@@ -131,7 +131,7 @@
 		runtime.GC()
 		runtime.ReadMemStats(&before)
 		m := member.New(rows[0], c.settings, rand.New(rand.NewPCG(1, 1)))
-		m.Handle(0, member.Bootstrap{Rows: rows}, nil)
+		m.Handle(0, member.Received{Kind: member.Notice, Message: member.Message{Members: rows}}, nil)
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		events := []struct {
