admission: let the former level stand while the queue has room

Cause: a level that falls by chance refuses what sources sent before they learned of it, after upstream services have worked for it. Change: the level of the interval before stays in force while the queue is less than half full.

--- a/admission/admit.go
+++ b/admission/admit.go
@@ -60,7 +60,17 @@
 	if p.Class() == request.Bulk && c.isBulkClosed(now) {
 		return true
 	}
-	return p >= c.level.level && !c.isProtected(now, p)
+	return p >= c.enforcedLevel() && !c.isProtected(now, p)
+}
+
+// enforcedLevel is the level of the interval before while that is higher and
+// the queue has room: sources take some time to learn of a lower level, and
+// what they sent in that time has cost work upstream.
+func (c *Controller) enforcedLevel() request.Priority {
+	if c.queued() < c.settings.QueueLimit/2 {
+		return max(c.level.level, c.level.previous)
+	}
+	return c.level.level
 }
 
 func (c *Controller) refuseForLoad(now request.Instant, a Arrive, r request.Reason) Verdict {
