--- a/admission/level.go
+++ b/admission/level.go
@@ -35,7 +35,7 @@
 	// densityDecay is the decay of the remembered density of a group in an
 	// interval. Arrivals can be missing because another service on the path
 	// has a lower level, and not because demand has fallen.
-	densityDecay = 0.8
+	densityDecay = 0.95
 	// fallSamples is the number of expected arrivals from which a fall of the
 	// demand of one group is taken to be a fall of all demand.
 	fallSamples = 20
