--- a/member/gossip.go
+++ b/member/gossip.go
@@ -40,16 +40,30 @@
 		return msg
 	}
 	if m.rumours.pending > 0 {
-		for _, e := range m.rumours.take(m.settings.MaxUpdates-len(msg.Members), m.transmissions(), nil) {
-			if e != to {
-				msg.Members = append(msg.Members, e.update())
-			}
-		}
+		msg.addUpdates(m.rumours.take(m.settings.MaxUpdates-len(msg.Members), m.transmissions(), nil), to)
 	}
 	msg.Crashes = m.takeCrashes()
 	return msg
 }
 
+// composeReply returns a response with piggybacked updates. It counts no transmissions, because the sender of a request
+// often knows the updates already.
+func (m *Membership) composeReply(to *entry) Message {
+	msg := Message{From: m.self.Instance, ConfigurationVersion: m.self.ConfigurationVersion}
+	if m.tokens > 0 {
+		msg.addUpdates(m.rumours.peek(m.settings.MaxUpdates, nil), to)
+	}
+	return msg
+}
+
+func (msg *Message) addUpdates(entries []*entry, to *entry) {
+	for _, e := range entries {
+		if e != to {
+			msg.Members = append(msg.Members, e.update())
+		}
+	}
+}
+
 // update returns the member for a message: whole while it may be new to others, else its state only.
 func (e *entry) update() Member {
 	if e.State == Alive && e.Revision == 0 {
@@ -98,11 +112,23 @@
 	}
 	m.nextReconnect = m.now.Add(m.settings.ReconnectInterval)
 	m.contacts.refresh(m)
+	if m.random.Float64() >= m.reconnectShare() {
+		return
+	}
 	if e := m.pick(m.contacts.dead, nil); e != nil {
 		m.sendGossip(e)
 	}
 }
 
+// reconnectShare is the chance of an attempt in one interval, so that all nodes together make a bounded number of
+// attempts for each dead member. With an attempt by every node, one frozen node among 2,800 had to answer 2 MB when it
+// resumed after 30 s.
+func (m *Membership) reconnectShare() float64 {
+	live := len(m.contacts.near) + len(m.contacts.far) + 1
+	attempts := float64(len(m.contacts.dead)) * m.settings.ReconnectsPerSecond * m.settings.ReconnectInterval.Seconds()
+	return attempts / float64(live)
+}
+
 // leave announces the departure to the sources directly and to all by gossip.
 func (m *Membership) leave(sources []request.InstanceID) {
 	if m.self.State == Leaving {
--- a/node/loopback.go
+++ b/node/loopback.go
@@ -18,7 +18,7 @@
 func (n *Node) loopbackHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /call/{service}/{operation}", n.serveNested)
-	return mux
+	return n.boundInput(mux)
 }
 
 func (n *Node) serveNested(w http.ResponseWriter, r *http.Request) {
