admission: end the control interval early when a surge begins

Cause: in the first interval of a surge the level stands at its maximum, and services upstream work for requests that the bottleneck refuses. Change: the interval ends after a fifth of its length if more than twice the capacity was admitted and the queue is full.

--- a/admission/command.go
+++ b/admission/command.go
@@ -214,7 +214,8 @@
 
 // advance ends the control interval if it is over, and the overflow if its protection is over.
 func (c *Controller) advance(now request.Instant) {
-	if elapsed := now.Sub(c.level.start); elapsed >= c.settings.Interval {
+	elapsed := now.Sub(c.level.start)
+	if elapsed >= c.settings.Interval || c.isFlooded(now, elapsed) {
 		c.endInterval(now, elapsed)
 	}
 	if c.overflow && !c.isProtected(now, 0) {
@@ -222,6 +223,15 @@
 	}
 }
 
+// isFlooded reports whether a surge has begun within the interval. The level
+// then falls at once, since services upstream work in vain until it does.
+func (c *Controller) isFlooded(now request.Instant, elapsed time.Duration) bool {
+	if !c.level.pressed || elapsed < c.settings.Interval/floodDivisor || c.waiting.length < c.settings.QueueLimit {
+		return false
+	}
+	return float64(c.level.below) > floodFactor*c.limit.perSecond(now)*elapsed.Seconds()
+}
+
 func (c *Controller) endInterval(now request.Instant, elapsed time.Duration) {
 	c.limit.endInterval(elapsed, c.level.starved)
 	capacity := c.limit.perSecond(now) * elapsed.Seconds()
--- a/admission/level.go
+++ b/admission/level.go
@@ -32,6 +32,10 @@
 	// share, below which half of it is corrected; the rest is mostly chance.
 	steadyError = 0.25
 	steadyGain  = 0.5
+	// floodFactor is the ratio of admitted arrivals to capacity from which an
+	// interval ends early, after a fifth of its length.
+	floodFactor  = 2
+	floodDivisor = 5
 	// densityDecay is the decay of the remembered density of a group in an
 	// interval. Arrivals can be missing because another service on the path
 	// has a lower level, and not because demand has fallen.
@@ -54,6 +58,8 @@
 	previous request.Priority
 	arrivals [request.MaxPriority]uint32
 	total    int
+	// below counts the arrivals below the level.
+	below int
 	// density estimates the arrivals per second of each priority of a group.
 	density [groupCount]float64
 	start   request.Instant
@@ -74,6 +80,9 @@
 func (l *leveller) count(p request.Priority) {
 	l.arrivals[p]++
 	l.total++
+	if p < l.level {
+		l.below++
+	}
 }
 
 // endInterval sets the level. Capacity and room are numbers of attempts: what
@@ -99,7 +108,7 @@
 	}
 	l.previous = before
 	clear(l.arrivals[:])
-	l.total, l.start = 0, now
+	l.total, l.below, l.start = 0, 0, now
 	l.pressed, l.starved = false, false
 }
 
