--- a/member/command.go
+++ b/member/command.go
@@ -179,6 +179,10 @@
 			m.emit(SendGossip{Address: rows[i].Address, Message: m.compose(nil)})
 			continue
 		}
+		if m.list.find(rows[i].Instance) == nil && rows[i].State == Alive && !rows[i].isStateOnly() {
+			m.addProvisional(&rows[i])
+			continue
+		}
 		m.apply(&rows[i], false)
 	}
 	m.nextRepair = m.now
@@ -212,15 +216,22 @@
 	}
 }
 
-// correct appends what this node knows better than the updates of a request.
+// correct appends what this node knows better than the updates of a request. A death that the sender is about to declare
+// itself is no news.
 func (m *Membership) correct(updates []Member, reply *Message) {
 	for i := range updates {
 		if len(reply.Members) >= m.settings.MaxUpdates {
 			return
 		}
 		e := m.list.find(updates[i].Instance)
-		if e != nil && e != m.self && compare(&e.Member, &updates[i]) > 0 {
+		if e == nil || e == m.self || compare(&e.Member, &updates[i]) <= 0 {
+			continue
+		}
+		switch {
+		case e.Incarnation != updates[i].Incarnation:
 			reply.Members = append(reply.Members, e.Member)
+		case e.State != Dead || e.Revision != updates[i].Revision:
+			reply.Members = append(reply.Members, e.stateOnly())
 		}
 	}
 }
@@ -244,6 +255,7 @@
 	if from == nil || from == m.self {
 		return
 	}
+	from.settle()
 	from.ConfigurationVersion = max(from.ConfigurationVersion, msg.ConfigurationVersion)
 	if msg.ConfigurationVersion <= m.self.ConfigurationVersion {
 		return
