sapphiretack: resend in the crash script as callers do

Cause: the script expected that one send after two crashes is answered. The first node's retries are bounded by its successes, so a send that reaches a backend server that is down may end not_run, which is honest. Seen once in seven runs, at a load average of 25.

Change: the script sends the request again as long as it is not run, and then checks that it was answered and executed once, which is as strict about outcomes. A send that ends before its part arrived is reported at once.

Conclusion: the scripts assert outcomes and no order of retries.

--- a/cmd/sapphiretack/process_test.go
+++ b/cmd/sapphiretack/process_test.go
@@ -125,6 +125,8 @@
 		f.session(argument(d, "id"), argument(d, "via"))
 	case "send":
 		f.send(d)
+	case "deliver":
+		return f.deliver(d)
 	case "began":
 		f.execution(argument(d, "id"))
 	case "part":
@@ -302,6 +304,9 @@
 		select {
 		case <-f.parts[name]:
 			return true
+		case outcome := <-f.sends[name]:
+			f.t.Fatalf("%s ended before a part arrived: %s", name, outcome)
+			return false
 		default:
 			return false
 		}
