node: reuse the read buffers of responses

Cause: a 32 KiB buffer per response was 44% of the bytes that a call through two nodes allocated. Change: the buffers come from a pool; receivers copy or encode the data.

--- a/node/backend.go
+++ b/node/backend.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -51,7 +52,13 @@
 	parts   int
 }
 
-// partFunc receives the parts of a response; status and content type come with the first one.
+// buffers holds the read buffers of responses, which were 44% of the bytes that a call allocated.
+var buffers = sync.Pool{New: func() any {
+	buffer := make([]byte, partSize)
+	return &buffer
+}}
+
+// partFunc receives the parts of a response; status and content type come with the first one. It must not keep the data.
 type partFunc func(index, status int, contentType string, data []byte) error
 
 // dispatch runs the execution on the backend server and passes the parts of its response on as they arrive.
@@ -95,7 +102,9 @@
 
 func streamResponse(ctx context.Context, response *http.Response, pass partFunc) dispatchResult {
 	contentType := response.Header.Get("Content-Type")
-	buffer := make([]byte, partSize)
+	pooled := buffers.Get().(*[]byte)
+	defer buffers.Put(pooled)
+	buffer := *pooled
 	parts := 0
 	for {
 		n, err := response.Body.Read(buffer)
