node: claim not_run for an effect only if its record proves it

Cause: a resend of an effect that had run was told not_run if it was refused before its record was looked up: by a leaving node, for a customer that is no longer configured, for a malformed header or a full node. And a backend server could repeat a nested call without end: each send got a free first attempt. Change: such refusals end unknown unless the caller states the first send; a leaving node still answers for effects that it has a record of, and runs no new ones; a repeated nested call draws on the request's budget. Measured: the scripted tests stop and path failed first: not_run for three resends whose effect may have run (one of them had), 19 of 19 repeats let through. After: answered, unknown and unknown; the 4th send is refused.

--- a/node/caller.go
+++ b/node/caller.go
@@ -40,18 +40,18 @@
 func (n *Node) openSession(w http.ResponseWriter, r *http.Request) {
 	address, err := netip.ParseAddrPort(r.RemoteAddr)
 	if err != nil {
-		writeMalformed(w, MalformedError.New("remote address %q: %v; connect by IP", r.RemoteAddr, err))
+		refuseMalformed(w, r, MalformedError.New("remote address %q: %v; connect by IP", r.RemoteAddr, err))
 		return
 	}
 	if reason := n.closed(); reason != request.NoReason {
-		writeNotRun(w, reason)
+		refuseEarly(w, r, reason)
 		return
 	}
 	n.sessions.mu.Lock()
 	ticket, err := n.sessions.table.Open(n.clock.now(), address.Addr())
 	n.sessions.mu.Unlock()
 	if err != nil {
-		writeNotRun(w, request.LimitReached)
+		refuseEarly(w, r, request.LimitReached)
 		return
 	}
 	w.Header().Set(headerContentType, "application/json")
@@ -67,7 +67,7 @@
 func (n *Node) closeSession(w http.ResponseWriter, r *http.Request) {
 	ticket, err := session.ParseTicket(r.Header.Get(headerTicket))
 	if err != nil {
-		writeMalformed(w, err)
+		refuseMalformed(w, r, err)
 		return
 	}
 	n.sessions.mu.Lock()
@@ -90,26 +90,27 @@
 func (n *Node) serveCall(w http.ResponseWriter, r *http.Request) {
 	headers, err := parseCallerHeaders(r.Header)
 	if err != nil {
-		writeMalformed(w, err)
+		refuseMalformed(w, r, err)
 		return
 	}
-	if reason := n.closed(); reason != request.NoReason {
-		writeNotRun(w, reason)
+	// A leaving node still answers for the effects that it has a record of.
+	if reason := n.closed(); reason != request.NoReason && (reason != request.Draining || headers.ticket == "") {
+		refuseEarly(w, r, reason)
 		return
 	}
 	if !n.enter() {
-		writeNotRun(w, request.LimitReached)
+		refuseEarly(w, r, request.LimitReached)
 		return
 	}
 	defer n.exit()
 	body, err := n.readBody(w, r)
 	if err != nil {
-		writeBodyError(w, err)
+		refuseBody(w, r, err)
 		return
 	}
 	in, reason := n.receive(headers, request.ServiceID(r.PathValue("service")), request.Operation(r.PathValue("operation")), body)
 	if reason != request.NoReason {
-		writeNotRun(w, reason)
+		refuseEarly(w, r, reason)
 		return
 	}
 	ctx, span := n.tracer.Start(trace.Extract(r.Context(), headers.traceparent), "request",
@@ -157,7 +158,7 @@
 func (n *Node) boundInput(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(n.settings.Timeouts.Body)); err != nil {
-			writeMalformed(w, MalformedError.Wrap(err))
+			refuseMalformed(w, r, MalformedError.Wrap(err))
 			return
 		}
 		h.ServeHTTP(w, r)
@@ -353,24 +354,31 @@
 	return request.NoReason
 }
 
-func writeMalformed(w http.ResponseWriter, err error) {
+// earlyOutcome is the outcome of a request that is refused before its effect was looked up. Of an effect that may have been
+// sent before, only the record says whether it ran.
+func earlyOutcome(h http.Header) request.Outcome {
+	isEffect := h.Get(headerTicket) != "" || h.Get(headerKey) != ""
+	if h.Get(headerStep) != "" || isEffect && h.Get(headerAttempt) != "1" {
+		return request.Unknown
+	}
+	return request.NotRun
+}
+
+func refuseEarly(w http.ResponseWriter, r *http.Request, reason request.Reason) {
+	o := earlyOutcome(r.Header)
+	writeRefusal(w, refusal{Outcome: o.String(), Reason: reason.String(), Remedy: reason.Remedy()}, statusOf(o, reason))
+}
+
+func refuseMalformed(w http.ResponseWriter, r *http.Request, err error) {
 	writeRefusal(w, refusal{
-		Outcome: request.NotRun.String(),
+		Outcome: earlyOutcome(r.Header).String(),
 		Reason:  request.Malformed.String(),
 		Remedy:  request.Malformed.Remedy(),
 		Message: err.Error(),
 	}, http.StatusBadRequest)
 }
 
-func writeNotRun(w http.ResponseWriter, reason request.Reason) {
-	writeRefusal(w, refusal{
-		Outcome: request.NotRun.String(),
-		Reason:  reason.String(),
-		Remedy:  reason.Remedy(),
-	}, statusOf(request.NotRun, reason))
-}
-
-func writeBodyError(w http.ResponseWriter, err error) {
+func refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	status := http.StatusBadRequest
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -380,7 +388,7 @@
 		status = http.StatusRequestTimeout
 	}
 	writeRefusal(w, refusal{
-		Outcome: request.NotRun.String(),
+		Outcome: earlyOutcome(r.Header).String(),
 		Reason:  request.Malformed.String(),
 		Remedy:  request.Malformed.Remedy(),
 		Message: "the body cannot be read: " + err.Error(),
--- a/node/effect.go
+++ b/node/effect.go
@@ -83,12 +83,15 @@
 	return res
 }
 
-// shedEffect refuses an effect that the path would refuse. Its sequence is free again, since nothing was sent.
+// shedEffect refuses a new effect if the node is leaving or the path would refuse it. Its sequence is free again, since nothing was sent.
 func (n *Node) shedEffect(c effectCall, e session.Effect, a *answer) (result, bool) {
 	if !c.sheds {
 		return result{}, false
 	}
-	res, refused := n.shed(c.out.plan)
+	res, refused := result{outcome: request.NotRun, reason: request.Draining}, n.leaving()
+	if !refused {
+		res, refused = n.shed(c.out.plan)
+	}
 	if refused {
 		n.sessions.finish(n.clock.now(), e, session.End{Outcome: res.outcome, Reason: res.reason})
 		a.end(res)
--- a/node/execution.go
+++ b/node/execution.go
@@ -32,6 +32,27 @@
 	nestedSince request.Instant // when nested last became 1
 	nestedTime  time.Duration   // total time with a nested call in flight
 	path        pathLevel
+	sent        map[nestedKey]struct{} // idempotent nested calls
+}
+
+// nestedKey tells a nested call from others of the same execution. Calls without a step are told apart by their content.
+type nestedKey struct {
+	position    request.Sequence
+	fingerprint request.Fingerprint
+}
+
+// isRepeated notes a nested call and reports whether the same one was sent before.
+func (e *execution) isRepeated(k nestedKey) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, sent := e.sent[k]; sent {
+		return true
+	}
+	if e.sent == nil {
+		e.sent = map[nestedKey]struct{}{}
+	}
+	e.sent[k] = struct{}{}
+	return false
 }
 
 // pathLevel is the lowest admission level seen on a path, and the service that reported it.
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -50,6 +50,7 @@
 	backend   *backendServer
 	stop      context.CancelFunc
 	done      chan struct{}
+	held      chan string // the outcome of the held call
 }
 
 // record counts the executions on all backend servers.
@@ -97,6 +98,10 @@
 				return f.restart()
 			case "raw":
 				return f.raw(d)
+			case "leave":
+				return f.leave(d)
+			case "release":
+				return f.release(d)
 			case "stop":
 				return f.stop(d)
 			}
@@ -150,7 +155,7 @@
 		address[field] = l.Addr().(*net.TCPAddr).AddrPort()
 		in.listeners[address[field].String()] = l
 	}
-	in.backend = &backendServer{record: &f.record, loopback: "http://" + address["loopback"].String(), service: service, address: "127.0.0.1:0"}
+	in.backend = &backendServer{record: &f.record, loopback: "http://" + address["loopback"].String(), service: service, address: "127.0.0.1:0", hold: make(chan struct{})}
 	in.backend.start(f.t)
 	var seeds []netip.AddrPort
 	for _, other := range f.instances {
@@ -354,6 +359,34 @@
 	return fmt.Sprintf("%d restarted", len(lines))
 }
 
+// leave begins the planned stop of a node while a call is held on its backend server, so that the drain cannot end.
+func (f *fleet) leave(d *datadriven.TestData) string {
+	in := f.instances[arg(d, "instance")]
+	in.held = make(chan string, 1)
+	f.group.Go(func() error {
+		in.held <- f.call(d)
+		return nil
+	})
+	f.waitUntil("the held call runs", func() bool {
+		f.record.mu.Lock()
+		defer f.record.mu.Unlock()
+		return f.record.counts["registry/hold"] > 0
+	})
+	in.stop()
+	f.waitUntil("the node is leaving", func() bool { return strings.Contains(f.get(arg(d, "instance"), "/ready"), "leaving") })
+	return "leaving"
+}
+
+// release lets the held call end and waits for the end of the node.
+func (f *fleet) release(d *datadriven.TestData) string {
+	in := f.instances[arg(d, "instance")]
+	close(in.backend.hold)
+	outcome := <-in.held
+	<-in.done
+	delete(f.instances, arg(d, "instance"))
+	return outcome
+}
+
 // stop ends one node gracefully, with a call in flight if the arguments name one.
 func (f *fleet) stop(d *datadriven.TestData) string {
 	in := f.instances[arg(d, "instance")]
@@ -397,6 +430,7 @@
 	address  string
 	server   *httptest.Server
 	crashed  atomic.Bool
+	hold     chan struct{} // closed to let "hold" end
 	listener atomic.Pointer[net.Listener]
 }
 
@@ -442,6 +476,11 @@
 		panic(http.ErrAbortHandler)
 	case "fail":
 		http.Error(w, "no such bird", http.StatusInternalServerError)
+	case "hold":
+		<-b.hold
+		fmt.Fprint(w, "finished")
+	case "again":
+		b.again(w, r, body)
 	case "crash":
 		b.crash()
 	case "slow":
@@ -452,6 +491,26 @@
 	}
 }
 
+// again sends the same nested call until it is refused, as a client library that retries on its own does.
+func (b *backendServer) again(w http.ResponseWriter, r *http.Request, body []byte) {
+	for sends := 1; sends < 20; sends++ {
+		call, _ := http.NewRequest(http.MethodPost, b.loopback+"/call/transfers/fail", bytes.NewReader(body))
+		call.Header.Set("Sapphiretack-Call", r.Header.Get("Sapphiretack-Call"))
+		response, err := http.DefaultClient.Do(call)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		answer, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if reason := field(string(answer), "reason"); reason != "" {
+			fmt.Fprintf(w, "send %d: %s", sends, reason)
+			return
+		}
+	}
+	fmt.Fprint(w, "never refused")
+}
+
 // nested calls an operation of another service through the loopback listener of the node, twice with the same step.
 func (b *backendServer) nested(w http.ResponseWriter, r *http.Request, body []byte) {
 	for range 2 {
--- a/node/loopback.go
+++ b/node/loopback.go
@@ -24,27 +24,27 @@
 func (n *Node) serveNested(w http.ResponseWriter, r *http.Request) {
 	parent, ok := n.executions.find(r.Header.Get(headerCall))
 	if !ok {
-		writeMalformed(w, MalformedError.New("header %s names no running request; copy it from the request that is being served", headerCall))
+		refuseMalformed(w, r, MalformedError.New("header %s names no running request; copy it from the request that is being served", headerCall))
 		return
 	}
 	body, err := n.readBody(w, r)
 	if err != nil {
-		writeBodyError(w, err)
+		refuseBody(w, r, err)
 		return
 	}
 	timeout, err := parseNumber(r.Header, headerTimeout, uint64(maxTimeout/time.Millisecond))
 	if err != nil {
-		writeMalformed(w, err)
+		refuseMalformed(w, r, err)
 		return
 	}
 	position, err := parseNumber(r.Header, headerStep, 1<<32)
 	if err != nil {
-		writeMalformed(w, err)
+		refuseMalformed(w, r, err)
 		return
 	}
 	out, reason := n.nestedCall(parent, r, body, time.Duration(timeout)*time.Millisecond)
 	if reason != request.NoReason {
-		writeNotRun(w, reason)
+		refuseEarly(w, r, reason)
 		return
 	}
 	traceparent := r.Header.Get(trace.Header)
@@ -95,6 +95,10 @@
 func (n *Node) runNested(ctx context.Context, parent *execution, out outgoing, position request.Sequence, r reply) result {
 	account := sharedAccount{mu: &parent.mu, account: &parent.account}
 	if out.plan.Idempotent {
+		// The request's budget bounds the retries that the backend server makes on its own.
+		if parent.isRepeated(nestedKey{position, out.plan.Fingerprint}) && !account.Spend() {
+			return result{outcome: request.Unknown, reason: request.RetriesExhausted}
+		}
 		return n.converse(ctx, out, account, r)
 	}
 	if parent.idempotent || parent.effect == "" {
