--- a/configuration/replica_test.go
+++ b/configuration/replica_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/datadriven"
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sapphiretack/sapphiretack/configuration"
 	"github.com/sapphiretack/sapphiretack/platform"
@@ -265,3 +266,41 @@
 		})
 	}
 }
+
+// Guards against a reader that sees a version go back, or a policy older than the version it saw before, while updates from
+// the platform and from peers are applied in any order.
+func TestReplicaConcurrent(t *testing.T) {
+	r := filled(t, 10)
+	first := r.Version()
+	const updates = 300
+	var group errgroup.Group
+	for worker := range 3 {
+		group.Go(func() error {
+			for i := range updates {
+				v := first + 1 + configuration.Version((i*(worker+1))%updates)
+				o := configuration.Object{
+					Kind: configuration.Customer, Name: "club-7", Revision: 2, Version: v, Document: customerDocument(int(v)),
+				}
+				if err := r.Apply(v, []configuration.Object{o}, false); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	group.Go(func() error {
+		for last := first; last < first+updates; {
+			v := r.Version()
+			p, err := r.Policy("club-7", "racedesk", "record-arrival")
+			if err != nil {
+				return err
+			}
+			if v < last || v > first && p.RatePerSecond < uint32(v) {
+				return fmt.Errorf("version %d after %d, rate %d", v, last, p.RatePerSecond)
+			}
+			last = v
+		}
+		return nil
+	})
+	qt.Assert(t, group.Wait(), qt.IsNil)
+}
