--- a/member/repair.go
+++ b/member/repair.go
@@ -52,17 +52,21 @@
 	if r.with == nil || response.From != r.with.Instance {
 		return
 	}
-	var next Message
 	// A response that brings more than the piggybacked updates comes from a list that differs much.
-	cut := len(response.Members) > m.settings.MaxUpdates
+	r.cut = r.cut || len(response.Members) > m.settings.MaxUpdates
+	// A response with nothing to compare ends the comparison, or it answers gossip that was sent to the same member.
+	if len(response.Digests) == 0 && !r.cut {
+		return
+	}
+	var next Message
 	if r.rounds < m.settings.RepairRounds {
-		cut = m.answerDigests(response.Digests, &next) || cut
+		r.cut = m.answerDigests(response.Digests, &next) || r.cut
 	}
 	r.members, r.digests = next.Members, next.Digests
 	if len(r.members)+len(r.digests) > 0 {
 		return
 	}
-	with := r.with
+	with, cut := r.with, r.cut
 	m.repair = repair{}
 	if cut {
 		// Much is missing, for example after a start or a partition; go on without waiting for the interval.
@@ -170,7 +174,7 @@
 func (m *Membership) entries(first, last uint64) []uint32 {
 	var hashes []uint32
 	for _, e := range m.list.within(first, last) {
-		if e.State != Dead {
+		if e.shared() {
 			hashes = append(hashes, short(e.summary()))
 		}
 	}
@@ -183,9 +187,11 @@
 	known := 0
 	for _, e := range m.list.within(theirs.First, theirs.Last) {
 		if e.State != Dead {
-			if slices.Contains(theirs.Entries, short(e.summary())) {
+			switch {
+			case slices.Contains(theirs.Entries, short(e.summary())):
 				known++
-			} else {
+				e.settle()
+			case !e.provisional:
 				a.addMember(e.Member)
 			}
 			continue
