configuration: test the largest documents over the protocol

Cause: comments on the bounds of documents and pages left out that rows hold documents in base64. Conclusion: every permitted document can be stored and read.

--- a/configuration/peer.go
+++ b/configuration/peer.go
@@ -6,8 +6,8 @@
 	"github.com/sapphiretack/sapphiretack/peer"
 )
 
-// maxPeerObjects bounds the objects in one response of a peer: ten times the customers of today's largest deployment would
-// not reach it, and a response beyond it is an error.
+// maxPeerObjects bounds the objects in one response of a peer. At 90 bytes for a small customer, a message of this many
+// objects would have over 90 MB.
 const maxPeerObjects = 1 << 20
 
 // Response returns the update as a message to a peer. A snapshot of many customers is larger than the 4 MiB that gRPC
--- a/configuration/read.go
+++ b/configuration/read.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// logPage is the number of rows in one scan. 64 documents of the largest size are 4 MiB, the bound on a page.
+	// logPage is the number of rows in one scan. A page of large documents ends earlier, at platform.MaxPageBytes.
 	logPage = 64
 	// maxLogRead is the number of changes after which a reader takes a snapshot instead.
 	maxLogRead = 1024
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -1,15 +1,19 @@
 package configuration_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"net/http/httptest"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/sapphiretack/sapphiretack/configuration"
 	"github.com/sapphiretack/sapphiretack/platform"
+	"github.com/sapphiretack/sapphiretack/standin"
+	"github.com/sapphiretack/sapphiretack/template"
 )
 
 const templateDocument = `{"operations": [{"service": "racedesk", "operation": "record-arrival", "class": "essential",
@@ -156,3 +160,26 @@
 		}
 	}
 }
+
+// Guards against a document that is permitted but does not fit a row, a page or a response.
+func TestLargestDocuments(t *testing.T) {
+	server := httptest.NewServer(standin.NewPlatform().Handler())
+	defer server.Close()
+	client, err := platform.NewClient(platform.Settings{URL: server.URL})
+	qt.Assert(t, err, qt.IsNil)
+	s := configuration.New(client)
+	document := append([]byte(templateDocument), bytes.Repeat([]byte(" "), template.MaxDocumentBytes-len(templateDocument))...)
+	const objects = 70 // more than one page by bytes
+	for i := range objects {
+		_, err := s.Commit(context.Background(), configuration.Change{
+			ID: configuration.ChangeID(fmt.Sprint("t-", i)), Kind: configuration.Template, Name: fmt.Sprint("clubs-", i), Document: document,
+		})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	for _, since := range []configuration.Version{0, 1} {
+		u, err := s.Since(context.Background(), since)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, u.Version, qt.Equals, configuration.Version(objects))
+		qt.Assert(t, u.Objects, qt.HasLen, objects-int(since))
+	}
+}
--- a/template/json.go
+++ b/template/json.go
@@ -9,7 +9,7 @@
 	"strconv"
 )
 
-// Bounds on a document. The size keeps a page of 64 log rows, encoded in base64, below the 8 MiB bound on a platform response.
+// Bounds on a document. In a table row the document is in base64, so a row stays under 100 KiB of the permitted 1 MiB.
 const (
 	MaxDocumentBytes = 64 << 10
 	maxDepth         = 8
