configuration: keep the states of members over a change

Cause: each change of the members built the poller's map of 2,800 peers anew. Change: the states of peers that stay are kept and the others are deleted.

--- a/configuration/poller.go
+++ b/configuration/poller.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -104,6 +105,7 @@
 	known    bool // the peer told a version since this instance started
 	failures int
 	retryAt  request.Instant
+	listing  uint64 // the last MembersChanged that had the peer
 }
 
 // Poller decides when a node polls the platform, when it fetches from a peer and when it may serve. It is not safe for
@@ -114,6 +116,7 @@
 	peers    map[request.InstanceID]*peerState
 	zone     []request.InstanceID        // the peers in the zone, in order of their names
 	asked    map[request.InstanceID]bool // peers that a start asks for their version now
+	listing  uint64                      // counts MembersChanged
 	version  Version                     // that the replica holds
 	heard    Version                     // highest version that a peer reported
 	joined   bool
@@ -167,26 +170,29 @@
 	return p.setTimer(out)
 }
 
+// members takes over the present peers. It keeps the states of those that stay, since a change of 2,800 members is frequent
+// when many instances restart.
 func (p *Poller) members(now request.Instant, peers []Peer) {
-	present := make(map[request.InstanceID]*peerState, len(peers))
-	p.zone = nil
+	p.listing++
+	p.zone = p.zone[:0]
 	p.heard = 0
 	for _, peer := range peers {
 		s := p.peers[peer.Instance]
 		if s == nil {
 			s = &peerState{}
+			p.peers[peer.Instance] = s
 		}
+		s.listing = p.listing
 		s.zone = peer.Zone
 		s.version = max(s.version, peer.Version)
 		s.known = s.known || peer.Version > 0
-		present[peer.Instance] = s
 		p.heard = max(p.heard, s.version)
 		if peer.Zone == p.settings.Zone {
 			p.zone = append(p.zone, peer.Instance)
 		}
 	}
+	maps.DeleteFunc(p.peers, func(_ request.InstanceID, s *peerState) bool { return s.listing != p.listing })
 	slices.Sort(p.zone)
-	p.peers = present
 	p.joined = true
 	wasReader := p.reader
 	p.reader = IsReader(p.settings.Instance, p.settings.Zone, p.zone)
