member: ask the seeds again while no member is known

Cause: a node that started with seeds only, without the platform, sent to them once; if these messages were lost and the others had forgotten it, it stayed alone. Conclusion: a start needs one seed that can be reached at some time.

--- a/member/command.go
+++ b/member/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sapphiretack/sapphiretack/request"
@@ -29,9 +30,11 @@
 	checkUntil request.Instant
 
 	contacts contacts
-	probes   []probe
-	number   Number
-	urgent   []*entry
+	// seeds are the addresses without an instance that Bootstrap brought.
+	seeds  []string
+	probes []probe
+	number Number
+	urgent []*entry
 
 	rumours      rumours
 	crashes      []crashRumour
@@ -176,6 +179,9 @@
 func (m *Membership) bootstrap(rows []Member) {
 	for i := range rows {
 		if rows[i].Instance == "" {
+			if !slices.Contains(m.seeds, rows[i].Address) {
+				m.seeds = append(m.seeds, rows[i].Address)
+			}
 			m.emit(SendGossip{Address: rows[i].Address, Message: m.compose(nil)})
 			continue
 		}
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -112,6 +112,9 @@
 	}
 	m.nextReconnect = m.now.Add(m.settings.ReconnectInterval)
 	m.contacts.refresh(m)
+	if len(m.contacts.near)+len(m.contacts.far) == 0 {
+		m.contactSeeds()
+	}
 	if m.random.Float64() >= m.reconnectShare() {
 		return
 	}
@@ -120,6 +123,13 @@
 	}
 }
 
+// contactSeeds asks the seeds again while no member is known, for example because the first messages were lost.
+func (m *Membership) contactSeeds() {
+	for _, address := range m.seeds {
+		m.emit(SendGossip{Address: address, Message: m.compose(nil)})
+	}
+}
+
 // reconnectShare is the chance of an attempt in one interval, so that all nodes together make a bounded number of
 // attempts for each dead member. With an attempt by every node, one frozen node among 2,800 had to answer 2 MB when it
 // resumed after 30 s.
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -69,6 +69,9 @@
 		for i := range int(number(t, d, "rows")) {
 			rows = append(rows, s.c.row(i, i%s.c.zones))
 		}
+		for _, id := range s.ids(t, d, "seeds") {
+			rows = append(rows, member.Member{Address: s.c.byID[id].Self().Address})
+		}
 		s.each(t, d, func(n *node) { s.c.restart(n, rows) })
 	case "cut":
 		s.cut(d, 1)
