--- a/admission/command.go
+++ b/admission/command.go
@@ -229,7 +229,7 @@
 	if !c.level.pressed || elapsed < c.settings.Interval/floodDivisor || c.waiting.length < c.settings.QueueLimit {
 		return false
 	}
-	return float64(c.level.below) > floodFactor*c.limit.perSecond(now)*elapsed.Seconds()
+	return c.level.below >= floodSamples && float64(c.level.below) > floodFactor*c.limit.perSecond(now)*elapsed.Seconds()
 }
 
 func (c *Controller) endInterval(now request.Instant, elapsed time.Duration) {
--- a/admission/level.go
+++ b/admission/level.go
@@ -33,9 +33,11 @@
 	steadyError = 0.25
 	steadyGain  = 0.5
 	// floodFactor is the ratio of admitted arrivals to capacity from which an
-	// interval ends early, after a fifth of its length.
+	// interval ends early, after 1/floodDivisor of its length and with
+	// floodSamples arrivals, enough to tell the level within a tenth.
 	floodFactor  = 2
-	floodDivisor = 5
+	floodDivisor = 25
+	floodSamples = 64
 	// densityDecay is the decay of the remembered density of a group in an
 	// interval. Arrivals can be missing because another service on the path
 	// has a lower level, and not because demand has fallen.
