admission: keep contention from being taken for the normal service time

A failed trial below the slots also reset the baseline. Change: the baseline drifts by 10% in 4 minutes, and only a trial that starts at all slots can reset it. No trial starts during the hold.

--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -22,6 +22,10 @@
 
 	waiting map[request.AttemptID]admission.Arrive
 	running []running
+	// slowness multiplies the service time by a factor that can depend on the attempts at once.
+	slowness func(running int) float64
+	// shortest is the least remaining time of an arrival.
+	shortest time.Duration
 
 	bulkAdmitted, essentialRefused request.Instant
 	refused, admitted              [request.ClassCount]int
@@ -31,7 +35,7 @@
 // running is an attempt at the backend server and the time at which it ends.
 type running struct {
 	admission.Arrive
-	end request.Instant
+	start, end request.Instant
 }
 
 const (
@@ -49,6 +53,8 @@
 		random:           rand.New(rand.NewPCG(seed, 1)),
 		controller:       admission.New(admission.Settings{Slots: testSlots}, 0),
 		waiting:          make(map[request.AttemptID]admission.Arrive),
+		slowness:         func(int) float64 { return 1 },
+		shortest:         minRemaining,
 		bulkAdmitted:     longAgo,
 		essentialRefused: longAgo,
 	}
@@ -66,7 +72,7 @@
 	})
 	for _, r := range ended {
 		l.completed++
-		l.apply(l.controller.Handle(l.now, admission.Finish{Attempt: r.Attempt, OwnTime: meanService}, nil))
+		l.apply(l.controller.Handle(l.now, admission.Finish{Attempt: r.Attempt, OwnTime: l.now.Sub(r.start)}, nil))
 	}
 	for range arrivals {
 		l.arrive(bulkShare)
@@ -89,7 +95,7 @@
 	a := admission.Arrive{
 		Attempt:   request.AttemptID{Source: 1, Number: l.next},
 		Priority:  request.PriorityOf(class, request.NewID(l.random)),
-		Remaining: minRemaining + time.Duration(l.random.IntN(400))*time.Millisecond,
+		Remaining: l.shortest + time.Duration(l.random.IntN(1000))*time.Millisecond,
 		Suspect:   l.random.IntN(50) == 0,
 	}
 	l.waiting[a.Attempt] = a
@@ -120,8 +126,9 @@
 		}
 	}
 	// Whole milliseconds, from 5 to 15: a rest would leave the slot idle until the next step.
-	end := l.now.Add(meanService/2 + time.Duration(l.random.IntN(11))*time.Millisecond)
-	l.running = append(l.running, running{Arrive: a, end: end})
+	service := meanService/2 + time.Duration(l.random.IntN(11))*time.Millisecond
+	service = time.Duration(float64(service) * l.slowness(len(l.running)+1)).Round(time.Millisecond)
+	l.running = append(l.running, running{Arrive: a, start: l.now, end: l.now.Add(service)})
 	l.noteAdmitted(a)
 }
 
@@ -191,6 +198,40 @@
 	qt.Assert(t, l.controller.Level(), qt.Equals, request.MaxPriority)
 }
 
+// Guards against a limit that sinks while the backend server is slow for
+// another reason than contention, which would take away capacity that is scarce already.
+func TestLimitStaysWhenSlow(t *testing.T) {
+	l := newLoad(t, 3)
+	l.shortest = 5 * minRemaining
+	l.run(5000, 3)
+	l.slowness = func(int) float64 { return 5 }
+	lowest := testSlots
+	for range 60 {
+		l.run(500, 3)
+		lowest = min(lowest, l.controller.Load().Limit)
+	}
+	// One trial at a time takes away a tenth of the slots.
+	qt.Assert(t, lowest >= testSlots*9/10, qt.IsTrue, qt.Commentf("limit %d", lowest))
+}
+
+// Guards against a limit that ignores contention: the backend server has half
+// of the slots that it declares, and more attempts at once only take longer.
+func TestLimitFollowsContention(t *testing.T) {
+	l := newLoad(t, 4)
+	l.shortest = 5 * minRemaining
+	l.run(5000, 1)
+	l.slowness = func(running int) float64 { return max(1, float64(running)/(testSlots/2)) }
+	l.run(30000, 3)
+	// Three quarters lie midway between the declared and the real slots.
+	qt.Assert(t, l.controller.Load().Limit <= testSlots*3/4, qt.IsTrue, qt.Commentf("limit %d", l.controller.Load().Limit))
+}
+
+func (l *load) run(steps, arrivals int) {
+	for range steps {
+		l.step(arrivals, 0.5)
+	}
+}
+
 // Guards against an allocation on the path of each call.
 func TestAdmitDoesNotAllocate(t *testing.T) {
 	c := newSaturated()
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -17,13 +17,14 @@
 	// backend server limited by its slots loses trialStep of its
 	// completions, one that suffers from contention loses none.
 	keptShare = 0.95
-	// baselineDrift lets the baseline follow a lasting change, by 1% a second.
-	baselineDrift = 1.0025
+	// baselineDrift lets the baseline follow a lasting change, by 10% in 4
+	// minutes. At 1% a second it absorbed contention within a minute.
+	baselineDrift = 1.0001
 	// trialSamples is the number of completions before and during a trial. With
 	// 75, chance made trials succeed and the limit sank for no reason.
 	trialSamples = 800
 	// firstHold and maxHold are the intervals after a failed trial in which the
-	// limit does not rise; the hold doubles after each.
+	// limit stays; the hold doubles after each.
 	firstHold, maxHold = 8, 128
 	// limitFloor is the smallest share of the slots.
 	limitFloor = 8
@@ -178,7 +179,7 @@
 
 func (l *limiter) beginTrial() {
 	lower := max(l.slots/limitFloor, int(float64(l.limit)*(1-trialStep)), 1)
-	if l.before.count < trialSamples || lower >= l.limit {
+	if l.before.count < trialSamples || l.hold > 0 || lower >= l.limit {
 		return
 	}
 	l.trial, l.trialFrom = trialSettling, l.limit
@@ -186,8 +187,9 @@
 }
 
 // endTrial keeps the lower limit if completions did not fall with it. If they
-// did, the backend server is slow for another reason, and its present own time
-// becomes the baseline, so that the same slowness starts no further trial.
+// fell with the first step below the slots, the backend server is slow for
+// another reason than contention, and its present own time becomes the
+// baseline, so that the same slowness starts no further trial.
 func (l *limiter) endTrial(own time.Duration) {
 	if l.during.count < trialSamples {
 		return
@@ -199,7 +201,9 @@
 		return
 	}
 	l.limit = l.trialFrom
-	l.baseline = own
+	if l.limit == l.slots {
+		l.baseline = own
+	}
 	l.before = measurement{}
 	l.hold = l.nextHold
 	l.nextHold = min(2*l.nextHold, maxHold)
