call: let the retry ratio hold back only retries under overload

The shell also counted an attempt in flight for each retry that the ratio refused. Change: a refusal by an instance that takes no calls bypasses the ratio, and the account still bounds it; the source avoids the instance as a broken one; an attempt counts in flight when it is sent.

--- a/call/call.go
+++ b/call/call.go
@@ -68,6 +68,7 @@
 	// The last refusal or loss, which explains the outcome when there is no further attempt.
 	reason     request.Reason
 	retryAfter time.Duration
+	notServing bool // the last attempt was refused by an instance that takes no calls
 	// waitUntil is the end of the wait for withdraw replies.
 	waitUntil request.Instant
 }
@@ -164,12 +165,16 @@
 }
 
 // retry sends a further attempt if an instance, the deadline, the account and the limiter permit it, and ends the call otherwise.
+//
+// The limiter holds back retries under overload. An instance that takes no calls refuses at no cost, so that a retry
+// elsewhere is no sign of overload; the account bounds it.
 func (c *Call) retry(now request.Instant, out []Action) []Action {
 	if now >= c.plan.Deadline || c.deps.Account.Held() == 0 {
 		return c.endProven(out)
 	}
 	choice, verdict := c.pick(now)
-	if verdict != route.Picked || !c.deps.Limiter.Allow(now, c.plan.Service) || !c.deps.Account.Spend() {
+	allowed := verdict == route.Picked && (c.notServing || c.deps.Limiter.Allow(now, c.plan.Service))
+	if !allowed || !c.deps.Account.Spend() {
 		return c.endProven(out)
 	}
 	if c.state == proving {
@@ -224,6 +229,7 @@
 		return c.gap(now, a, out)
 	}
 	c.prove(a)
+	c.notServing = e.Reason.IsNotServing()
 	if c.state == running {
 		c.reason, c.retryAfter = e.Reason, e.RetryAfter
 	}
@@ -389,6 +395,7 @@
 		return c.cut(why, out)
 	}
 	c.reason, c.retryAfter = why, 0
+	c.notServing = false
 	if !c.plan.Idempotent || isFinal(why) {
 		return c.endProven(out)
 	}
--- a/node/configure.go
+++ b/node/configure.go
@@ -236,20 +236,9 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	u := configuration.Update{Version: configuration.Version(response.GetVersion()), Snapshot: response.GetSnapshot()}
-	for _, o := range response.GetObjects() {
-		kind, err := configuration.ParseKind(o.GetKind())
-		if err != nil {
-			return err
-		}
-		u.Objects = append(u.Objects, configuration.Object{
-			Kind:      kind,
-			Name:      o.GetName(),
-			Revision:  configuration.Revision(o.GetRevision()),
-			Version:   configuration.Version(o.GetVersion()),
-			Document:  o.GetDocument(),
-			Withdrawn: o.GetWithdrawn(),
-		})
+	u, err := configuration.ParseResponse(response)
+	if err != nil {
+		return err
 	}
 	return n.replica.Apply(u.Version, u.Objects, u.Snapshot)
 }
--- a/node/server.go
+++ b/node/server.go
@@ -83,16 +83,5 @@
 // Configuration returns the changes after a version, or a snapshot.
 func (s *peerServer) Configuration(_ context.Context, m *peer.ConfigurationRequest) (*peer.ConfigurationResponse, error) {
 	u := s.node.replica.Since(configuration.Version(m.GetSince()))
-	response := &peer.ConfigurationResponse{Version: uint64(u.Version), Snapshot: u.Snapshot}
-	for _, o := range u.Objects {
-		response.Objects = append(response.Objects, &peer.ConfigurationObject{
-			Kind:      o.Kind.String(),
-			Name:      o.Name,
-			Revision:  uint64(o.Revision),
-			Version:   uint64(o.Version),
-			Document:  o.Document,
-			Withdrawn: o.Withdrawn,
-		})
-	}
-	return response, nil
+	return u.Response(), nil
 }
--- a/node/source.go
+++ b/node/source.go
@@ -100,11 +100,7 @@
 func (r *routes) Pick(now request.Instant, s request.ServiceID, p request.Priority, excluded []request.InstanceID) (route.Choice, route.Verdict) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	choice, verdict := r.table.Pick(now, s, p, excluded)
-	if verdict == route.Picked {
-		r.table.Begin(now, choice.Instance)
-	}
-	return choice, verdict
+	return r.table.Pick(now, s, p, excluded)
 }
 
 func (r *routes) update(f func(*route.Table)) {
@@ -307,14 +303,20 @@
 	}
 	now := c.node.clock.now()
 	c.node.routes.update(func(t *route.Table) {
-		if e.load != nil {
-			c.observeLoad(t, now, at, e)
-		}
-		switch e.event.(type) {
+		switch event := e.event.(type) {
 		case call.Broken:
 			t.Broken(now, at.choice.Instance)
+		case call.Refused:
+			if event.Reason.IsNotServing() {
+				// Later calls avoid the instance instead of spending an attempt on the same refusal.
+				t.Broken(now, at.choice.Instance)
+				break
+			}
+			c.observeLoad(t, now, at, e)
 		case call.Part, call.WithdrawReply:
 			return
+		default:
+			c.observeLoad(t, now, at, e)
 		}
 		at.observed = true
 		t.Done(at.choice.Instance)
@@ -322,6 +324,9 @@
 }
 
 func (c *conversation) observeLoad(t *route.Table, now request.Instant, at *attempt, e attemptEvent) {
+	if e.load == nil {
+		return
+	}
 	t.Observe(now, at.choice.Instance, route.Load{
 		InFlight: e.load.GetInFlight(),
 		Queued:   e.load.GetQueued(),
@@ -368,6 +373,7 @@
 func (c *conversation) send(s call.Send) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.attempts[s.Attempt] = &attempt{choice: s.Choice, cancel: cancel}
+	c.node.routes.update(func(t *route.Table) { t.Begin(c.node.clock.now(), s.Choice.Instance) })
 	m := &peer.CallRequest{
 		Attempt:                attemptMessage(s.Attempt),
 		RequestId:              c.out.requestID[:],
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -103,3 +103,8 @@
 	}
 	return ""
 }
+
+// IsNotServing reports whether an instance that refuses for the reason takes no calls at all.
+func (r Reason) IsNotServing() bool {
+	return r == BackendCrashed || r == Draining || r == NoInstance
+}
