experiment: print each JSON document as its run ends

Cause: the runs of all variants take a quarter of an hour, and an interrupted command lost all results. Change: runAll prints JSON documents under a mutex as the runs end.

--- a/cmd/sapphiretack-experiment/main.go
+++ b/cmd/sapphiretack-experiment/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"sync"
 	"text/tabwriter"
 
 	"github.com/integrii/flaggy"
@@ -54,7 +55,11 @@
 	if err != nil {
 		return err
 	}
-	return print(o, runAll(o, deployments, scenarios, variants))
+	reports, err := runAll(o, deployments, scenarios, variants)
+	if err != nil || o.json {
+		return err
+	}
+	return print(o, reports)
 }
 
 // choose returns the items that a list of names selects.
@@ -86,8 +91,11 @@
 	return strings.Join(names, ", ")
 }
 
-func runAll(o options, deployments []*experiment.Deployment, scenarios []experiment.Scenario, variants []experiment.Variant) []*experiment.Report {
+// runAll runs each combination. JSON documents are printed as the runs end,
+// since the runs of all variants take a quarter of an hour.
+func runAll(o options, deployments []*experiment.Deployment, scenarios []experiment.Scenario, variants []experiment.Variant) ([]*experiment.Report, error) {
 	reports := make([]*experiment.Report, len(deployments)*len(scenarios)*len(variants))
+	out := printer{encoder: json.NewEncoder(os.Stdout), options: o}
 	var group errgroup.Group
 	group.SetLimit(max(1, o.parallel))
 	i := 0
@@ -98,19 +106,34 @@
 				i++
 				group.Go(func() error {
 					reports[place] = experiment.Run(d, s, v, o.seed)
-					return nil
+					return out.print(reports[place])
 				})
 			}
 		}
 	}
-	_ = group.Wait() // No run returns an error.
-	return reports
+	return reports, errs.Wrap(group.Wait())
 }
 
-func print(o options, reports []*experiment.Report) error {
-	if o.json {
-		return printJSON(o, reports)
+// printer writes one JSON document at a time.
+type printer struct {
+	mutex   sync.Mutex
+	encoder *json.Encoder
+	options options
+}
+
+func (p *printer) print(r *experiment.Report) error {
+	if !p.options.json {
+		return nil
+	}
+	if !p.options.timeline {
+		r.Timeline = nil
 	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return errs.Wrap(p.encoder.Encode(r))
+}
+
+func print(o options, reports []*experiment.Report) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "deployment\tscenario\tvariant\toffered\ttotal%\tess%\tstd%\tbulk%\tess.ans%\tess.cap%\tafter%\trec.ms\tshare.ms\tp99rec.ms\twaste%\tatt/req\tatt/send\trefused e/s/b\tref.ms\tref99.ms\tess99.ms\tnorm99.ms\tothers%\tdeep%\t")
 	for _, r := range reports {
@@ -133,16 +156,3 @@
 			p.Millis, p.Arrived, p.Answered, p.Completed, p.Levels, p.Queued, p.Millis99)
 	}
 }
-
-func printJSON(o options, reports []*experiment.Report) error {
-	encoder := json.NewEncoder(os.Stdout)
-	for _, r := range reports {
-		if !o.timeline {
-			r.Timeline = nil
-		}
-		if err := encoder.Encode(r); err != nil {
-			return errs.Wrap(err)
-		}
-	}
-	return nil
-}
