--- a/member/command.go
+++ b/member/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sapphiretack/sapphiretack/request"
@@ -29,9 +30,11 @@
 	checkUntil request.Instant
 
 	contacts contacts
-	probes   []probe
-	number   Number
-	urgent   []*entry
+	// seeds are the addresses without an instance that Bootstrap brought.
+	seeds  []string
+	probes []probe
+	number Number
+	urgent []*entry
 
 	rumours      rumours
 	crashes      []crashRumour
@@ -176,6 +179,9 @@
 func (m *Membership) bootstrap(rows []Member) {
 	for i := range rows {
 		if rows[i].Instance == "" {
+			if !slices.Contains(m.seeds, rows[i].Address) {
+				m.seeds = append(m.seeds, rows[i].Address)
+			}
 			m.emit(SendGossip{Address: rows[i].Address, Message: m.compose(nil)})
 			continue
 		}
@@ -216,8 +222,8 @@
 	}
 }
 
-// correct appends what this node knows better than the updates of a request. A death that the sender is about to declare
-// itself is no news.
+// correct appends what this node knows better than the updates of a request. The death of a member that the sender
+// suspects is no news, since the sender is about to declare it itself.
 func (m *Membership) correct(updates []Member, reply *Message) {
 	for i := range updates {
 		if len(reply.Members) >= m.settings.MaxUpdates {
@@ -227,10 +233,11 @@
 		if e == nil || e == m.self || compare(&e.Member, &updates[i]) <= 0 {
 			continue
 		}
+		declared := e.State == Dead && updates[i].State == Suspect && e.Revision == updates[i].Revision
 		switch {
 		case e.Incarnation != updates[i].Incarnation:
 			reply.Members = append(reply.Members, e.Member)
-		case e.State != Dead || e.Revision != updates[i].Revision:
+		case !declared:
 			reply.Members = append(reply.Members, e.stateOnly())
 		}
 	}
