sapphiretack: print members in the order of their names

Cause: status printed the members in the order of the node's table, which differs between nodes.

Change: the command line sorts them by instance.

Measured: tests of cmd/sapphiretack pass.

Conclusion: the status of two nodes can be compared line by line.

--- a/cmd/sapphiretack/print.go
+++ b/cmd/sapphiretack/print.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -129,6 +131,7 @@
 }
 
 func (p *printer) status(s operator.Status) {
+	slices.SortFunc(s.Members, func(a, b operator.MemberStatus) int { return cmp.Compare(a.Instance, b.Instance) })
 	p.write(s, func(w io.Writer) {
 		self := s.Self
 		ready := "ready"
