node: show operators which requests are in quarantine

Cause: explain takes a fingerprint, and no log or response showed one. Change: explain lists the quarantine records of a service, and a refusal as quarantined names the fingerprint. The crash script expects one answered send again.

--- a/cmd/sapphiretack/print.go
+++ b/cmd/sapphiretack/print.go
@@ -168,7 +168,7 @@
 		if e.Reason != "" {
 			fmt.Fprintf(w, "reason %s: %s\n", e.Reason, e.Remedy)
 		}
-		if q := e.Quarantine; q != nil {
+		for _, q := range e.Quarantine {
 			fmt.Fprintf(w, "fingerprint %s: %s after %d crashes, for another %v\n", q.Fingerprint, q.State, q.Crashes, time.Duration(q.RemainingMs)*time.Millisecond)
 		}
 		for _, i := range e.Instances {
--- a/cmd/sapphiretack/process_call_test.go
+++ b/cmd/sapphiretack/process_call_test.go
@@ -145,17 +145,6 @@
 	return fmt.Sprintf("%s %s, status %d", refusal.Outcome, refusal.Reason, response.StatusCode)
 }
 
-// deliver sends a request and sends it again as long as it is not run, as a caller does, and returns the last outcome.
-func (f *fleet) deliver(d *datadriven.TestData) string {
-	outcome := ""
-	f.poll("outcome of "+argument(d, "id"), func() bool {
-		f.send(d)
-		outcome = f.outcome(argument(d, "id"))
-		return !strings.HasPrefix(outcome, "not_run")
-	})
-	return outcome
-}
-
 func (f *fleet) outcome(name string) string {
 	result := f.sends[name]
 	qt.Assert(f.t, result, qt.IsNotNil, qt.Commentf("send %q", name))
--- a/cmd/sapphiretack/process_test.go
+++ b/cmd/sapphiretack/process_test.go
@@ -125,8 +125,6 @@
 		f.session(argument(d, "id"), argument(d, "via"))
 	case "send":
 		f.send(d)
-	case "deliver":
-		return f.deliver(d)
 	case "began":
 		f.execution(argument(d, "id"))
 	case "part":
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -98,6 +99,9 @@
 				return f.restart()
 			case "raw":
 				return f.raw(d)
+			case "explain":
+				body := f.get(arg(d, "at"), "/v1/explain?service="+arg(d, "service")+"&fingerprint="+arg(d, "fingerprint"))
+				return remaining.ReplaceAllString(body, `"remaining_ms":N`)
 			case "leave":
 				return f.leave(d)
 			case "release":
@@ -110,6 +114,9 @@
 	})
 }
 
+// remaining is the part of an explanation that depends on the time.
+var remaining = regexp.MustCompile(`"remaining_ms":\d+`)
+
 func arg(d *datadriven.TestData, key string) string {
 	for _, a := range d.CmdArgs {
 		if a.Key == key && len(a.Vals) > 0 {
--- a/node/header.go
+++ b/node/header.go
@@ -134,6 +134,8 @@
 	Remedy       string `json:"remedy"`
 	Message      string `json:"message,omitempty"`
 	RequestID    string `json:"request_id,omitempty"`
+	// Fingerprint names a quarantined request to the operator, who gives it to explain.
+	Fingerprint string `json:"fingerprint,omitempty"`
 }
 
 // statusOf maps an outcome and its reason to an HTTP status.
--- a/node/operate.go
+++ b/node/operate.go
@@ -221,22 +221,23 @@
 }
 
 func (n *Node) explainQuarantine(q operator.ExplainQuery, e *operator.Explanation) {
-	if q.Fingerprint == 0 {
-		return
-	}
 	n.crashes.mu.Lock()
-	r, ok := n.crashes.table.Record(n.clock.now(), q.Fingerprint)
+	records := n.crashes.table.Records(n.clock.now())
 	n.crashes.mu.Unlock()
-	if !ok {
-		return
-	}
-	e.Quarantine = &operator.QuarantineDecision{
-		Fingerprint: fmt.Sprintf("%016x", uint64(r.Fingerprint)),
-		Crashes:     r.Count,
-		State:       r.State().String(),
-		RemainingMs: r.Remaining.Milliseconds(),
-	}
-	if r.State() == quarantine.Quarantined {
-		e.Verdict, e.Reason, e.Remedy = operator.VerdictRefused, request.Quarantined.String(), request.Quarantined.Remedy()
+	for _, r := range records {
+		if r.Service != q.Service || q.Fingerprint != 0 && r.Fingerprint != q.Fingerprint {
+			continue
+		}
+		e.Quarantine = append(e.Quarantine, operator.QuarantineDecision{
+			Fingerprint: formatFingerprint(r.Fingerprint),
+			Crashes:     r.Count,
+			State:       r.State().String(),
+			RemainingMs: r.Remaining.Milliseconds(),
+		})
+		if q.Fingerprint != 0 && r.State() == quarantine.Quarantined {
+			e.Verdict, e.Reason, e.Remedy = operator.VerdictRefused, request.Quarantined.String(), request.Quarantined.Remedy()
+		}
 	}
 }
+
+func formatFingerprint(f request.Fingerprint) string { return fmt.Sprintf("%016x", uint64(f)) }
--- a/node/respond.go
+++ b/node/respond.go
@@ -23,6 +23,7 @@
 	requestID  request.ID
 	priority   request.Priority
 	service    request.ServiceID
+	content    request.Fingerprint
 	started    bool
 }
 
@@ -34,6 +35,7 @@
 		requestID:  out.requestID,
 		priority:   out.plan.Priority,
 		service:    out.plan.Service,
+		content:    out.plan.Fingerprint,
 	}
 }
 
@@ -79,7 +81,7 @@
 	if service == "" {
 		service = h.service
 	}
-	writeRefusal(h.w, refusal{
+	body := refusal{
 		Outcome:      r.outcome.String(),
 		Reason:       r.reason.String(),
 		Service:      string(service),
@@ -89,7 +91,11 @@
 		Remedy:       r.reason.Remedy(),
 		Message:      message,
 		RequestID:    h.requestID.String(),
-	}, statusOf(r.outcome, r.reason))
+	}
+	if r.reason == request.Quarantined {
+		body.Fingerprint = formatFingerprint(h.content)
+	}
+	writeRefusal(h.w, body, statusOf(r.outcome, r.reason))
 }
 
 // peerReply streams a response to the node that passed a call on.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -62,7 +62,7 @@
 func (n *fakeNode) Explain(q operator.ExplainQuery) (operator.Explanation, error) {
 	e := operator.Explanation{Service: q.Service, Customer: q.Customer, Operation: q.Operation, Verdict: operator.VerdictAdmitted}
 	if q.Fingerprint != 0 {
-		e.Quarantine = &operator.QuarantineDecision{Fingerprint: fmt.Sprintf("%016x", uint64(q.Fingerprint)), Crashes: 2, State: "quarantined", RemainingMs: 5}
+		e.Quarantine = []operator.QuarantineDecision{{Fingerprint: fmt.Sprintf("%016x", uint64(q.Fingerprint)), Crashes: 2, State: "quarantined", RemainingMs: 5}}
 	}
 	return e, nil
 }
--- a/operator/types.go
+++ b/operator/types.go
@@ -97,19 +97,20 @@
 
 // Explanation says why requests of one kind are admitted or refused at present.
 type Explanation struct {
-	Service         request.ServiceID   `json:"service"`
-	Customer        request.CustomerID  `json:"customer,omitempty"`
-	Operation       request.Operation   `json:"operation,omitempty"`
-	Class           string              `json:"class,omitempty"`
-	PriorityFirst   request.Priority    `json:"priority_first"` // most important priority of such requests
-	PriorityLast    request.Priority    `json:"priority_last"`  // least important priority of such requests
-	Level           request.Priority    `json:"level"`          // lowest level on the path, as this node knows it
-	LimitingService request.ServiceID   `json:"limiting_service,omitempty"`
-	Verdict         Verdict             `json:"verdict"`
-	Reason          string              `json:"reason,omitempty"`
-	Remedy          string              `json:"remedy,omitempty"`
-	Instances       []InstanceLevel     `json:"instances,omitempty"`
-	Quarantine      *QuarantineDecision `json:"quarantine,omitempty"`
+	Service         request.ServiceID  `json:"service"`
+	Customer        request.CustomerID `json:"customer,omitempty"`
+	Operation       request.Operation  `json:"operation,omitempty"`
+	Class           string             `json:"class,omitempty"`
+	PriorityFirst   request.Priority   `json:"priority_first"` // most important priority of such requests
+	PriorityLast    request.Priority   `json:"priority_last"`  // least important priority of such requests
+	Level           request.Priority   `json:"level"`          // lowest level on the path, as this node knows it
+	LimitingService request.ServiceID  `json:"limiting_service,omitempty"`
+	Verdict         Verdict            `json:"verdict"`
+	Reason          string             `json:"reason,omitempty"`
+	Remedy          string             `json:"remedy,omitempty"`
+	Instances       []InstanceLevel    `json:"instances,omitempty"`
+	// Quarantine holds the record of the fingerprint, or all records of the service if the query names none.
+	Quarantine []QuarantineDecision `json:"quarantine,omitempty"`
 }
 
 // Verdict says what happens to requests of one kind.
