quarantine: count an unconfirmed loss beside a confirmed crash

Ways weighed: - Count nothing (before): a fingerprint takes down three backend servers when the node ends or freezes while its backend server crashes. - Count every lost connection as a crash: keeps the limit, but a partition or a dead node makes suspects of all requests in flight for 10 minutes. - Record an unconfirmed loss for 60 s that weighs only beside a confirmed crash.

Cause: the source sees only a lost stream, so the first crash is not counted.

Change: a source that loses a stream without an end, or gets no reply to a withdrawal, records a loss (instance and incarnation of the node) against the fingerprint. It sends the losses with each attempt (CallRequest.losses) and gossips them after the records of crashes, without notices, at most 2 in a message and 2 times from one node. A loss alone leaves the fingerprint clear. Beside a crash, all losses count as one more until the last expires; the fingerprint is then a suspect again. A crash that the lost node reports later replaces its loss, so that one event counts once. At most MaxCrashes losses for a fingerprint; losses share the table and are evicted first. The fake nodes get incarnations that are as far apart as those of request.NewIncarnation, and number the runs of their backend servers from them as package node does.

Not covered: two losses without a confirmed crash, a resend before the source notices the loss, a cancelled attempt, and a fingerprint that comes back after its loss expired.

--- a/call/call.go
+++ b/call/call.go
@@ -93,6 +93,8 @@
 	fate   fate
 	// crashed is set once the crash of the backend server was reported.
 	crashed bool
+	// reported is set once the loss of the stream was reported.
+	reported bool
 }
 
 // fate is what the source knows about the execution of an attempt.
@@ -276,13 +278,14 @@
 	}
 	a.fate = lost
 	if c.state == stopping {
-		// The withdraw reply is still to come.
-		return out
+		// The withdraw reply is still to come. The loss does not wait for it, because the caller may send the request again.
+		return c.reportLoss(a, out)
 	}
 	if c.next > 0 {
-		return c.cut(request.ConnectionLost, out)
+		return c.cut(request.ConnectionLost, c.reportLoss(a, out))
 	}
 	if c.plan.Idempotent {
+		out = c.reportLoss(a, out)
 		return c.afterLoss(now, request.ConnectionLost, out)
 	}
 	c.reason, c.retryAfter = request.ConnectionLost, 0
@@ -320,6 +323,16 @@
 	return out
 }
 
+// reportLoss records that nothing is known of an attempt. A destination that answers a withdraw runs, and counts a crash
+// itself.
+func (c *Call) reportLoss(a *attempt, out []Action) []Action {
+	if a.reported {
+		return out
+	}
+	a.reported = true
+	return append(out, ReportLoss{Instance: a.choice.Instance, Incarnation: a.choice.Incarnation, Fingerprint: c.plan.Fingerprint})
+}
+
 func (c *Call) replied(now request.Instant, e WithdrawReply, out []Action) []Action {
 	a := c.last()
 	if a == nil || a.id != e.Attempt || (c.state != proving && c.state != stopping) {
@@ -329,13 +342,16 @@
 		c.prove(a)
 		return c.afterProof(now, false, out)
 	}
+	if e.Result == NoReply {
+		out = c.reportLoss(a, out)
+	}
 	return c.settle(out)
 }
 
 func (c *Call) timer(now request.Instant, out []Action) []Action {
 	switch {
 	case (c.state == proving || c.state == stopping) && now >= c.waitUntil:
-		return c.settle(out)
+		return c.settle(c.reportLoss(c.last(), out))
 	case c.state == running && now >= c.plan.Deadline:
 		return c.stop(now, request.DeadlineExceeded, out)
 	}
--- a/call/call_test.go
+++ b/call/call_test.go
@@ -159,6 +159,8 @@
 		return fmt.Sprintf("timer %v", time.Duration(a.At))
 	case call.ReportCrash:
 		return fmt.Sprintf("report crash of %d on %s incarnation %d", a.Fingerprint, a.Instance, a.Incarnation)
+	case call.ReportLoss:
+		return fmt.Sprintf("report loss of %d on %s incarnation %d", a.Fingerprint, a.Instance, a.Incarnation)
 	case call.End:
 		s := fmt.Sprintf("end %v %v", a.Outcome, a.Reason)
 		if a.RetryAfter > 0 {
--- a/call/event.go
+++ b/call/event.go
@@ -133,6 +133,14 @@
 	Fingerprint request.Fingerprint
 }
 
+// ReportLoss tells that the stream of an attempt was lost without an end, so that the backend server may have crashed while
+// it ran the fingerprint. Incarnation is that of the node.
+type ReportLoss struct {
+	Instance    request.InstanceID
+	Incarnation request.Incarnation
+	Fingerprint request.Fingerprint
+}
+
 func (Send) isAction()        {}
 func (Withdraw) isAction()    {}
 func (Cancel) isAction()      {}
@@ -140,3 +148,4 @@
 func (End) isAction()         {}
 func (SetTimer) isAction()    {}
 func (ReportCrash) isAction() {}
+func (ReportLoss) isAction()  {}
--- a/faultmatrix/backend.go
+++ b/faultmatrix/backend.go
@@ -141,7 +141,7 @@
 	}
 	b.up = false
 	b.crashes++
-	b.crashed = b.crashes
+	b.crashed = b.node.incarnation + b.crashes
 	for _, x := range b.runs {
 		x.stopped = true
 	}
--- a/faultmatrix/destination.go
+++ b/faultmatrix/destination.go
@@ -34,11 +34,10 @@
 	w := n.world
 	m.arrived = w.now
 	s := &served{stream: st, message: m, account: budget.NewAccount(m.lent), pathLevel: request.MaxPriority}
-	count := m.crashes
-	if r, ok := n.quarantine.Record(w.now, m.request.fingerprint); ok {
-		count = max(count, r.Count)
-	}
-	switch state := (quarantine.Record{Count: count}).State(); {
+	n.quarantine.Merge(w.now, []quarantine.Record{{Fingerprint: m.request.fingerprint, Service: services[n.depth], Losses: m.losses}})
+	known, _ := n.quarantine.Record(w.now, m.request.fingerprint)
+	known.Count = max(known.Count, m.crashes)
+	switch state := known.State(); {
 	case state == quarantine.Quarantined:
 		n.refuse(s, request.Quarantined, 0)
 	case !n.backend.up || !n.ready:
@@ -217,6 +216,16 @@
 	}
 }
 
+// countLoss records that the stream to a node was lost without an end. It is no reason for notices.
+func (n *node) countLoss(f request.Fingerprint, depth int, l quarantine.Loss) {
+	if n.world.options.Weakened == CrashLimit {
+		return
+	}
+	if r, changed := n.quarantine.ReportLoss(n.world.now, f, services[depth], l); changed {
+		n.memberEvent(member.CrashesMerged{Records: []quarantine.Record{r}})
+	}
+}
+
 // running returns the attempts at the backend server in a fixed order.
 func (n *node) running() []*served {
 	var out []*served
--- a/faultmatrix/source.go
+++ b/faultmatrix/source.go
@@ -21,6 +21,7 @@
 	remaining  time.Duration
 	lent       uint32
 	crashes    int
+	losses     []quarantine.Loss
 	arrived    request.Instant
 }
 
@@ -118,6 +119,8 @@
 		})
 	case call.ReportCrash:
 		n.countCrash(a.Fingerprint, s.message.depth, quarantine.Crash{Instance: a.Instance, Incarnation: a.Incarnation})
+	case call.ReportLoss:
+		n.countLoss(a.Fingerprint, s.message.depth, quarantine.Loss{Instance: a.Instance, Incarnation: a.Incarnation})
 	case call.End:
 		s.end(a)
 	}
@@ -145,7 +148,7 @@
 	m := s.message
 	m.remaining, m.lent = a.Remaining, a.Lent
 	if r, ok := n.quarantine.Record(w.now, m.request.fingerprint); ok {
-		m.crashes = r.Count
+		m.crashes, m.losses = r.Count, r.Losses
 	}
 	dest := w.current(a.Choice.Instance)
 	st := &stream{id: a.Attempt, source: n, dest: dest, parts: make(map[uint32]part)}
--- a/faultmatrix/world.go
+++ b/faultmatrix/world.go
@@ -257,6 +257,10 @@
 	decisions []decision
 }
 
+// incarnationShift leaves room for the runs of a backend server between the incarnations of two processes, as the clock does
+// in request.NewIncarnation.
+const incarnationShift = 24
+
 // newNode starts a process; a replaced instance keeps its backend server if it is given.
 func (w *World) newNode(id request.InstanceID, depth int, zone request.ZoneID, b *backend) *node {
 	w.started++
@@ -266,7 +270,7 @@
 		id:          id,
 		depth:       depth,
 		zone:        zone,
-		incarnation: request.Incarnation(w.started),
+		incarnation: request.Incarnation(w.started) << incarnationShift,
 		quarantine:  quarantine.New(quarantine.DefaultSettings()),
 		recent:      budget.NewRequests(budget.Settings{Capacity: recentRequests, Life: budget.DefaultSettings.Life}),
 		served:      make(map[request.AttemptID]*served),
--- a/member/convert.go
+++ b/member/convert.go
@@ -174,7 +174,41 @@
 			Incarnation: request.Incarnation(c.GetIncarnation()),
 		})
 	}
-	return r, nil
+	var err error
+	r.Losses, err = FromLosses(p.GetLosses())
+	return r, err
+}
+
+// FromLosses checks and converts the unconfirmed losses of one fingerprint.
+func FromLosses(losses []*peer.Loss) ([]quarantine.Loss, error) {
+	if len(losses) > quarantine.MaxCrashes {
+		return nil, Error.New("fingerprint has %d losses; %d are allowed", len(losses), quarantine.MaxCrashes)
+	}
+	var out []quarantine.Loss
+	for _, l := range losses {
+		if len(l.GetInstance()) > maxNameLength {
+			return nil, Error.New("lost instance has a name of %d bytes; %d are allowed", len(l.GetInstance()), maxNameLength)
+		}
+		out = append(out, quarantine.Loss{
+			Instance:    request.InstanceID(l.GetInstance()),
+			Incarnation: request.Incarnation(l.GetIncarnation()),
+			Remaining:   time.Duration(l.GetRemainingNs()),
+		})
+	}
+	return out, nil
+}
+
+// LossesProto converts the unconfirmed losses of one fingerprint.
+func LossesProto(losses []quarantine.Loss) []*peer.Loss {
+	var out []*peer.Loss
+	for _, l := range losses {
+		out = append(out, &peer.Loss{
+			Instance:    string(l.Instance),
+			Incarnation: uint64(l.Incarnation),
+			RemainingNs: int64(l.Remaining),
+		})
+	}
+	return out
 }
 
 func membersProto(members []Member) []*peer.Member {
@@ -212,6 +246,7 @@
 			Service:     string(r.Service),
 			Count:       uint32(r.Count),
 			RemainingNs: int64(r.Remaining),
+			Losses:      LossesProto(r.Losses),
 		}
 		for _, c := range r.Crashes {
 			out[i].Crashes = append(out[i].Crashes, &peer.ServerCrash{Instance: string(c.Instance), Incarnation: uint64(c.Incarnation)})
--- a/member/convert_test.go
+++ b/member/convert_test.go
@@ -59,6 +59,7 @@
 			Count:       random.IntN(quarantine.MaxCrashes),
 			Crashes:     []quarantine.Crash{{Instance: "racedesk-1", Incarnation: request.Incarnation(random.Uint64())}},
 			Remaining:   time.Duration(random.Int64()),
+			Losses:      []quarantine.Loss{{Instance: "racedesk-2", Incarnation: request.Incarnation(random.Uint64()), Remaining: time.Duration(random.Int64())}},
 		})
 	}
 	return msg
--- a/member/rumour.go
+++ b/member/rumour.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/sapphiretack/sapphiretack/quarantine"
 	"github.com/sapphiretack/sapphiretack/request"
@@ -82,9 +83,9 @@
 
 // crashRumour is a quarantine record that is passed on.
 type crashRumour struct {
-	record  quarantine.Record
-	expires request.Instant
-	sends   int
+	record quarantine.Record
+	at     request.Instant // when the record was added
+	sends  int
 }
 
 // maxCrashRumours bounds the records waiting to be passed on; one crash of the largest backend server has 230.
@@ -95,7 +96,7 @@
 const crashTransmissions = 2
 
 func (m *Membership) addCrashRumour(r quarantine.Record) {
-	c := crashRumour{record: r, expires: m.now.Add(r.Remaining)}
+	c := crashRumour{record: r, at: m.now}
 	for i := range m.crashes {
 		if m.crashes[i].record.Fingerprint == r.Fingerprint {
 			m.crashes[i] = c
@@ -103,31 +104,57 @@
 		}
 	}
 	if len(m.crashes) >= maxCrashRumours {
-		m.crashes = append(m.crashes[:0], m.crashes[1:]...)
+		victim := max(0, slices.IndexFunc(m.crashes, crashRumour.isLoss))
+		if c.isLoss() && !m.crashes[victim].isLoss() {
+			return
+		}
+		m.crashes = slices.Delete(m.crashes, victim, victim+1)
 	}
 	m.crashes = append(m.crashes, c)
 }
 
-// takeCrashes returns records to piggyback and counts a transmission of each.
+// isLoss reports whether no crash of the fingerprint is known.
+func (c crashRumour) isLoss() bool { return c.record.Count == 0 }
+
+// lossTransmissions is the number of times that this node sends a record of losses alone, and lossesPerMessage bounds those
+// of one message. The sends of a request carry the losses as well, and a partition loses the streams of many at once.
+const (
+	lossTransmissions = 2
+	lossesPerMessage  = 2
+)
+
+// takeCrashes returns records to piggyback, those of crashes before those of losses alone, and counts a transmission of
+// each.
 func (m *Membership) takeCrashes() []quarantine.Record {
 	if len(m.crashes) == 0 {
 		return nil
 	}
-	n := min(len(m.crashes), m.settings.MaxCrashes)
-	taken := append([]crashRumour(nil), m.crashes[:n]...)
-	m.crashes = append(m.crashes[:0], m.crashes[n:]...)
-	var records []quarantine.Record
-	for _, c := range taken {
-		c.record.Remaining = c.expires.Sub(m.now)
-		if c.record.Remaining <= 0 {
-			continue
+	records := m.take(nil, crashTransmissions*m.transmissions(), m.settings.MaxCrashes, false)
+	room := min(lossesPerMessage, m.settings.MaxCrashes-len(records))
+	return m.take(records, lossTransmissions, room, true)
+}
+
+// take appends up to limit records of one rank, which then wait behind the others, and drops those that were sent often
+// enough or have expired.
+func (m *Membership) take(records []quarantine.Record, transmissions, limit int, losses bool) []quarantine.Record {
+	var again []crashRumour
+	m.crashes = slices.DeleteFunc(m.crashes, func(c crashRumour) bool {
+		if limit <= 0 || c.isLoss() != losses {
+			return false
 		}
-		records = append(records, c.record)
+		limit--
+		r, ok := c.record.After(m.now.Sub(c.at))
+		if !ok {
+			return true
+		}
+		records = append(records, r)
 		c.sends++
-		if c.sends < crashTransmissions*m.transmissions() {
-			m.crashes = append(m.crashes, c)
+		if c.sends < transmissions {
+			again = append(again, c)
 		}
-	}
+		return true
+	})
+	m.crashes = append(m.crashes, again...)
 	return records
 }
 
--- a/member/size.go
+++ b/member/size.go
@@ -43,6 +43,9 @@
 	for _, c := range r.Crashes {
 		n += nested(stringSize(len(c.Instance)) + fixedField(uint64(c.Incarnation)))
 	}
+	for _, l := range r.Losses {
+		n += nested(stringSize(len(l.Instance)) + fixedField(uint64(l.Incarnation)) + varintField(uint64(l.Remaining)))
+	}
 	return n
 }
 
--- a/node/destination.go
+++ b/node/destination.go
@@ -11,6 +11,7 @@
 
 	"github.com/sapphiretack/sapphiretack/admission"
 	"github.com/sapphiretack/sapphiretack/budget"
+	"github.com/sapphiretack/sapphiretack/member"
 	"github.com/sapphiretack/sapphiretack/peer"
 	"github.com/sapphiretack/sapphiretack/quarantine"
 	"github.com/sapphiretack/sapphiretack/request"
@@ -159,6 +160,11 @@
 	if len(m.GetRequestId()) != len(request.ID{}) || m.GetAttempt() == nil || remaining > maxTimeout {
 		return status.Error(codes.InvalidArgument, "the call needs a request ID of 16 bytes, an attempt and a remaining time of at most 60 s")
 	}
+	losses, err := member.FromLosses(m.GetLosses())
+	if err != nil {
+		return status.Error(codes.InvalidArgument, err.Error())
+	}
+	d.node.mergeLosses(m, losses)
 	ctx, span := d.node.tracer.Start(trace.Extract(ctx, m.GetTraceparent()), "serve "+m.GetService()+"/"+m.GetOperation())
 	defer span.End()
 	reason, retryAfter := d.refuseEarly(m)
@@ -189,6 +195,19 @@
 	}}})
 }
 
+// mergeLosses adds the losses that a source sent with an attempt to this service.
+func (n *Node) mergeLosses(m *peer.CallRequest, losses []quarantine.Loss) {
+	if len(losses) == 0 || m.GetService() != string(n.settings.Instance.Service) {
+		return
+	}
+	// The source passes the losses on by gossip.
+	n.mergeCrashes([]quarantine.Record{{
+		Fingerprint: request.Fingerprint(m.GetFingerprint()),
+		Service:     n.settings.Instance.Service,
+		Losses:      losses,
+	}})
+}
+
 // contextFor keeps the values of the context, and its cancellation only for idempotent calls.
 func contextFor(ctx context.Context, idempotent bool) context.Context {
 	if idempotent {
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -57,6 +57,34 @@
 type record struct {
 	mu     sync.Mutex
 	counts map[string]int
+	// lost is set once the connections to one node were reset.
+	lost atomic.Bool
+}
+
+// lossyListener can reset the connections that it has accepted, as the end of the node does.
+type lossyListener struct {
+	net.Listener
+	mu       sync.Mutex
+	accepted []net.Conn
+}
+
+func (l *lossyListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.accepted = append(l.accepted, c)
+	}
+	return c, err
+}
+
+func (l *lossyListener) lose() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.accepted {
+		_ = c.Close()
+	}
+	l.accepted = nil
 }
 
 func (r *record) add(name string) {
@@ -155,7 +183,9 @@
 		address[field] = l.Addr().(*net.TCPAddr).AddrPort()
 		in.listeners[address[field].String()] = l
 	}
-	in.backend = &backendServer{record: &f.record, loopback: "http://" + address["loopback"].String(), service: service, address: "127.0.0.1:0", hold: make(chan struct{})}
+	peers := &lossyListener{Listener: in.listeners[address["peer"].String()]}
+	in.listeners[address["peer"].String()] = peers
+	in.backend = &backendServer{lose: peers.lose, record: &f.record, loopback: "http://" + address["loopback"].String(), service: service, address: "127.0.0.1:0", hold: make(chan struct{})}
 	in.backend.start(f.t)
 	var seeds []netip.AddrPort
 	for _, other := range f.instances {
@@ -431,6 +461,7 @@
 	server   *httptest.Server
 	crashed  atomic.Bool
 	hold     chan struct{} // closed to let "hold" end
+	lose     func()
 	listener atomic.Pointer[net.Listener]
 }
 
@@ -483,6 +514,12 @@
 		b.again(w, r, body)
 	case "crash":
 		b.crash()
+	case "lose-then-crash":
+		if b.record.lost.CompareAndSwap(false, true) {
+			b.lose()
+			return
+		}
+		b.crash()
 	case "slow":
 		time.Sleep(300 * time.Millisecond)
 		fmt.Fprint(w, "finished")
--- a/node/members.go
+++ b/node/members.go
@@ -288,6 +288,26 @@
 	}
 }
 
+// streamLost records that the stream to a node was lost without an end. It is passed on by gossip alone.
+func (n *Node) streamLost(s request.ServiceID, r call.ReportLoss) {
+	n.crashes.mu.Lock()
+	record, changed := n.crashes.table.ReportLoss(n.clock.now(), r.Fingerprint, s, quarantine.Loss{
+		Instance:    r.Instance,
+		Incarnation: r.Incarnation,
+	})
+	n.crashes.mu.Unlock()
+	if changed {
+		n.members.handle(member.CrashesMerged{Records: []quarantine.Record{record}})
+	}
+}
+
+// losses returns the unconfirmed losses that go with an attempt.
+func (n *Node) losses(f request.Fingerprint) []quarantine.Loss {
+	n.crashes.mu.Lock()
+	defer n.crashes.mu.Unlock()
+	return n.crashes.table.Losses(n.clock.now(), f)
+}
+
 // sources remembers the instances that sent calls lately.
 type sources struct {
 	mu   sync.Mutex
--- a/node/operate.go
+++ b/node/operate.go
@@ -227,14 +227,14 @@
 	n.crashes.mu.Lock()
 	r, ok := n.crashes.table.Record(n.clock.now(), q.Fingerprint)
 	n.crashes.mu.Unlock()
-	if !ok {
+	if !ok || r.State() == quarantine.Clear {
 		return
 	}
 	e.Quarantine = &operator.QuarantineDecision{
 		Fingerprint: fmt.Sprintf("%016x", uint64(r.Fingerprint)),
 		Crashes:     r.Count,
 		State:       r.State().String(),
-		RemainingMs: r.Remaining.Milliseconds(),
+		RemainingMs: r.StateRemaining().Milliseconds(),
 	}
 	if r.State() == quarantine.Quarantined {
 		e.Verdict, e.Reason, e.Remedy = operator.VerdictRefused, request.Quarantined.String(), request.Quarantined.Remedy()
--- a/node/source.go
+++ b/node/source.go
@@ -11,6 +11,7 @@
 
 	"github.com/sapphiretack/sapphiretack/budget"
 	"github.com/sapphiretack/sapphiretack/call"
+	"github.com/sapphiretack/sapphiretack/member"
 	"github.com/sapphiretack/sapphiretack/peer"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/route"
@@ -269,6 +270,8 @@
 		case call.ReportCrash:
 			c.node.metrics.crashes.Inc(1)
 			c.node.crashSeen(c.out.plan.Service, a)
+		case call.ReportLoss:
+			c.node.streamLost(c.out.plan.Service, a)
 		}
 	}
 }
@@ -392,6 +395,7 @@
 		Depth:                  c.out.depth,
 		DestinationIncarnation: uint64(s.Choice.Incarnation),
 		Traceparent:            trace.Inject(ctx),
+		Losses:                 member.LossesProto(c.node.losses(c.out.plan.Fingerprint)),
 	}
 	c.group.Go(func() error {
 		defer cancel()
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -21,5 +21,14 @@
 // it by one each time the backend server restarts. It sends the current value
 // in the load of each response.
 //
+// A source that loses a stream without an end cannot tell a crash from a lost
+// connection. ReportLoss records it against the fingerprint for a short time:
+//
+//	loss := quarantine.Loss{Instance: "racedesk-2", Incarnation: 9}
+//	table.ReportLoss(now, fingerprint, "racedesk", loss)
+//
+// Losses alone leave a fingerprint clear. Beside a crash they count as one more
+// crash, unless the crash is the event behind the loss.
+//
 // Table is not safe for concurrent use.
 package quarantine
--- /dev/null
+++ b/quarantine/innocent_test.go
@@ -0,0 +1,64 @@
+package quarantine_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/quarantine"
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+// Guards against quarantining innocent requests that were in flight at a partition and at one crash: they may be refused
+// only while a loss is younger than its expiry, also when nodes exchange their records all the time.
+func TestInnocentAfterPartition(t *testing.T) {
+	const (
+		requests  = 200
+		lossLimit = 60 * time.Second // design 4.6
+		step      = time.Second
+		steps     = 720 // until after the crashes have expired
+	)
+	random := rand.New(rand.NewPCG(1, 1))
+	nodes := [2]*quarantine.Table{quarantine.New(quarantine.DefaultSettings()), quarantine.New(quarantine.DefaultSettings())}
+	crashAt := make([]time.Duration, requests)
+	for f := range requests {
+		// Each request loses streams to several nodes, at both sources.
+		for i, n := range nodes {
+			n.ReportLoss(0, request.Fingerprint(f), "racedesk", quarantine.Loss{Instance: "racedesk-1", Incarnation: 1})
+			n.ReportLoss(0, request.Fingerprint(f), "racedesk", quarantine.Loss{Instance: "racedesk-2", Incarnation: request.Incarnation(i + 1)})
+		}
+		crashAt[f] = time.Duration(random.Int64N(int64(2 * lossLimit)))
+	}
+	refused := 0
+	for i := range steps {
+		at := time.Duration(i) * step
+		now := request.Instant(at)
+		for f, c := range crashAt {
+			if c >= at-step && c < at {
+				crash := quarantine.Crash{Instance: "racedesk-3", Incarnation: 5}
+				nodes[f%2].Report(now, request.Fingerprint(f), "racedesk", crash)
+			}
+		}
+		nodes[0].Merge(now, nodes[1].Records(now))
+		nodes[1].Merge(now, nodes[0].Records(now))
+		for f, c := range crashAt {
+			for _, n := range nodes {
+				state := n.State(now, request.Fingerprint(f))
+				if state == quarantine.Clear {
+					continue
+				}
+				qt.Assert(t, c < at, qt.IsTrue, qt.Commentf("request %d is %v at %v, before its crash at %v", f, state, at, c))
+				if state == quarantine.Quarantined {
+					refused++
+					qt.Assert(t, at < lossLimit, qt.IsTrue, qt.Commentf("request %d is quarantined at %v", f, at))
+				}
+			}
+		}
+	}
+	qt.Assert(t, refused > 0, qt.IsTrue, qt.Commentf("no crash met a loss, so that the test shows nothing"))
+	for f := range requests {
+		qt.Assert(t, nodes[0].State(steps*request.Instant(step), request.Fingerprint(f)), qt.Equals, quarantine.Clear)
+	}
+}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -48,7 +48,7 @@
 	case "new":
 		var capacity int
 		d.ScanArgs(t, "capacity", &capacity)
-		tables[node] = quarantine.New(quarantine.Settings{Capacity: capacity, Expiry: 10 * time.Minute})
+		tables[node] = quarantine.New(quarantine.Settings{Capacity: capacity, Expiry: 10 * time.Minute, LossExpiry: time.Minute})
 		return ""
 	case "advance":
 		var by string
@@ -61,6 +61,10 @@
 		crash := quarantine.Crash{Instance: request.InstanceID(instance), Incarnation: request.Incarnation(incarnation)}
 		r, changed := table.Report(*now, request.Fingerprint(fingerprint), request.ServiceID(service), crash)
 		return fmt.Sprintf("count=%d %v changed=%v\n", r.Count, r.State(), changed)
+	case "lose":
+		loss := quarantine.Loss{Instance: request.InstanceID(instance), Incarnation: request.Incarnation(incarnation)}
+		r, changed := table.ReportLoss(*now, request.Fingerprint(fingerprint), request.ServiceID(service), loss)
+		return fmt.Sprintf("count=%d losses=%d %v for %v changed=%v\n", r.Count, len(r.Losses), r.State(), r.StateRemaining(), changed)
 	case "merge":
 		changed := table.Merge(*now, tables[from].Records(*now))
 		return fmt.Sprintf("changed=%d\n", len(changed)) + list(table.Records(*now))
@@ -75,7 +79,11 @@
 func list(records []quarantine.Record) string {
 	var b strings.Builder
 	for _, r := range records {
-		fmt.Fprintf(&b, "%d %s count=%d %v remaining=%v\n", r.Fingerprint, r.Service, r.Count, r.State(), r.Remaining)
+		fmt.Fprintf(&b, "%d %s count=%d %v remaining=%v", r.Fingerprint, r.Service, r.Count, r.State(), r.Remaining)
+		for _, l := range r.Losses {
+			fmt.Fprintf(&b, " lost=%s/%d for %v", l.Instance, l.Incarnation, l.Remaining)
+		}
+		b.WriteString("\n")
 	}
 	return b.String()
 }
--- a/request/outcome.go
+++ b/request/outcome.go
@@ -68,7 +68,7 @@
 	DeadlineTooShort: "resend with a longer timeout or after retry_after_ms",
 	DeadlineExceeded: "resend with a longer timeout",
 	Draining:         "resend; another instance takes over",
-	Quarantined:      "do not resend; the request crashed two backend servers, ask the operator to look at explain",
+	Quarantined:      "do not resend; the request crashed two backend servers, or one, and was lost with a node or a connection, ask the operator to look at explain",
 	NoInstance:       "resend after retry_after_ms; ask the operator whether the service is running",
 	RetriesExhausted: "resend after retry_after_ms",
 	ConnectionLost:   "look up the effect before sending a new one; it is not run again",
