--- a/node/operate.go
+++ b/node/operate.go
@@ -225,14 +225,14 @@
 	records := n.crashes.table.Records(n.clock.now())
 	n.crashes.mu.Unlock()
 	for _, r := range records {
-		if r.Service != q.Service || q.Fingerprint != 0 && r.Fingerprint != q.Fingerprint {
+		if r.Service != q.Service || q.Fingerprint != 0 && r.Fingerprint != q.Fingerprint || r.State() == quarantine.Clear {
 			continue
 		}
 		e.Quarantine = append(e.Quarantine, operator.QuarantineDecision{
 			Fingerprint: formatFingerprint(r.Fingerprint),
 			Crashes:     r.Count,
 			State:       r.State().String(),
-			RemainingMs: r.Remaining.Milliseconds(),
+			RemainingMs: r.StateRemaining().Milliseconds(),
 		})
 		if q.Fingerprint != 0 && r.State() == quarantine.Quarantined {
 			e.Verdict, e.Reason, e.Remedy = operator.VerdictRefused, request.Quarantined.String(), request.Quarantined.Remedy()
