--- a/member/doc.go
+++ b/member/doc.go
@@ -29,6 +29,8 @@
 //     partition do not remove each other's members.
 //   - A node probes a small random set of members of its zone, redrawn slowly,
 //     so that the connections per node stay bounded.
+//   - Rows of the platform's table are provisional: they serve the node that read
+//     them, and are passed on only when another node confirms them.
 //   - Digests by range of the hash space repair missed updates. The recursive
 //     split follows the idea of 75/WAKU2-SYNC, the synchronization protocol for
 //     Waku messages with Prolly trees.
