--- /dev/null
+++ b/standin/authority.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// Authority is a stand-in certificate authority; its key exists in memory only.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// CertificateRequest says what a certificate is issued for.
+type CertificateRequest struct {
+	Name        string // common name
+	DNSNames    []string
+	IPAddresses []net.IP
+	Uses        []x509.ExtKeyUsage // none means any
+	NotBefore   time.Time
+	NotAfter    time.Time
+}
+
+// Pair is a certificate and its key, both in PEM.
+type Pair struct {
+	Certificate []byte
+	Key         []byte
+}
+
+// serialNumber makes serial numbers that differ within one process.
+var serialNumber atomic.Int64
+
+// NewAuthority returns an authority that is valid during a period.
+func NewAuthority(name string, notBefore, notAfter time.Time) (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	template := newTemplate(CertificateRequest{Name: name, NotBefore: notBefore, NotAfter: notAfter})
+	template.IsCA, template.BasicConstraintsValid = true, true
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, err
+	}
+	certificate, err := x509.ParseCertificate(der)
+	return &Authority{certificate: certificate, key: key}, err
+}
+
+func newTemplate(r CertificateRequest) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(serialNumber.Add(1)),
+		Subject:      pkix.Name{CommonName: r.Name},
+		DNSNames:     r.DNSNames,
+		IPAddresses:  r.IPAddresses,
+		ExtKeyUsage:  r.Uses,
+		NotBefore:    r.NotBefore,
+		NotAfter:     r.NotAfter,
+	}
+}
+
+// PEM returns the certificate of the authority.
+func (a *Authority) PEM() []byte { return certificatePEM(a.certificate.Raw) }
+
+// Issue returns a new certificate with a new key.
+func (a *Authority) Issue(r CertificateRequest) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, err
+	}
+	der, err := x509.CreateCertificate(rand.Reader, newTemplate(r), a.certificate, key.Public(), a.key)
+	if err != nil {
+		return Pair{}, err
+	}
+	secret, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, err
+	}
+	return Pair{
+		Certificate: certificatePEM(der),
+		Key:         pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: secret}),
+	}, nil
+}
+
+func certificatePEM(der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+}
--- a/standin/doc.go
+++ b/standin/doc.go
@@ -12,5 +12,7 @@
 //
 //	{"latency_ms": 300, "lose_responses": 2}
 //
+// The certificate authority issues certificates for trials and tests of TLS.
+//
 // A backend server runs the operations of one service as its behavior says.
 package standin
