settings: name the files of TLS listeners

Cause: nothing says which listeners use TLS.

Change: the optional section tls has the parts peer, caller and operator, each with certificate_file, key_file and authorities_file, which peer requires. An empty section or part is a problem, since it would look like TLS and be plain TCP. In a deployment file, {instance} stands for the name of the instance.

Measured: before, the section was an unknown field. After, TestRead and TestDeployments pass.

Conclusion: files without the section mean what they meant.

--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -223,6 +223,7 @@
 	s.Platform = d.Platform
 	s.Seeds = d.seeds(m)
 	s.Trace.File = strings.ReplaceAll(s.Trace.File, instancePlaceholder, string(m.Name))
+	s.TLS = s.TLS.of(m.Name)
 	return s
 }
 
--- a/settings/doc.go
+++ b/settings/doc.go
@@ -21,6 +21,17 @@
 //	d, err := settings.ReadDeploymentFile("deployments/golubarnik/deployment.json")
 //	s, err := d.Settings("racedesk-1")
 //
+// The listeners use TLS when the files of their certificates are named; in a
+// deployment file, {instance} stands for the name of the instance:
+//
+//	"tls": {
+//	  "peer": {
+//	    "certificate_file": "/etc/sapphiretack/{instance}.pem",
+//	    "key_file": "/etc/sapphiretack/{instance}.key",
+//	    "authorities_file": "/etc/sapphiretack/authorities.pem",
+//	  },
+//	},
+//
 // Reading is strict. An unknown field, a wrong type, a value out of range, an
 // address that does not parse and fields that contradict each other are all
 // reported at once, as Problems with file, line, column, field and remedy, and
--- a/settings/read.go
+++ b/settings/read.go
@@ -54,6 +54,7 @@
 	s.Log = section(o, "log", readLog)
 	s.Trace = section(o, "trace", readTrace)
 	s.Timeouts = section(o, "timeouts", readTimeouts)
+	s.TLS = readTLS(o)
 	s.Stop = o.duration("stop_ms", defaultStop, minStop, 10*time.Minute)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,6 +20,7 @@
 	Log       Log
 	Trace     Trace
 	Timeouts  Timeouts
+	TLS       TLS
 	Stop      time.Duration // longest time that a planned stop waits for requests in flight
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return err.Error()
 	}
-	return strings.Join([]string{
+	lines := []string{
 		fmt.Sprintf("instance: %+v", s.Instance),
 		fmt.Sprintf("listeners: %+v", s.Listeners),
 		fmt.Sprintf("backend: %+v", s.Backend),
@@ -55,7 +55,11 @@
 		fmt.Sprintf("trace: %+v", s.Trace),
 		fmt.Sprintf("timeouts: %+v", s.Timeouts),
 		fmt.Sprintf("stop: %v", s.Stop),
-	}, "\n")
+	}
+	if s.TLS != (settings.TLS{}) {
+		lines = append(lines, fmt.Sprintf("tls: %+v", s.TLS))
+	}
+	return strings.Join(lines, "\n")
 }
 
 // Guards against committed deployments that do not read or whose sizes differ from docs/design.md, section 1.
