node: TLS on the peer, caller and operator listeners

Cause: between nodes, towards callers and operators all bytes are readable and nobody proves who it is.

Change: the listeners use the credentials that the settings name; the check for changed files runs every 10 s. A peer must present a certificate for its IP address or for an instance that is known at it. A refused peer is logged at most once in 10 s. The handshake of a silent client is bounded by the time for headers. The operator client and the command line reach listeners with TLS; a failed handshake counts as unreachable, since the node did not see the request. The scripts of TestFleet run over TLS, too, unchanged.

--- a/cmd/sapphiretack/configuration.go
+++ b/cmd/sapphiretack/configuration.go
@@ -8,6 +8,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/sapphiretack/sapphiretack/credential"
 	"github.com/sapphiretack/sapphiretack/operator"
 )
 
@@ -21,18 +22,34 @@
 // clientFlags say which operator listeners to ask.
 type clientFlags struct {
 	operators []string
+	tls       credential.Files
 }
 
 func (f *clientFlags) attach(sub *flaggy.Subcommand) {
 	sub.StringSlice(&f.operators, "o", "operator", "operator listener of any node; several may be given (default "+defaultOperator+")")
+	sub.String(&f.tls.Authorities, "a", "authorities", "PEM file with the authorities of operator listeners that use TLS")
+	sub.String(&f.tls.Certificate, "", "certificate", "PEM file with a client certificate, for listeners that require one")
+	sub.String(&f.tls.Key, "", "key", "PEM file with the key of the client certificate")
 }
 
-func (f *clientFlags) client() *operator.Client {
+func (f *clientFlags) client() (*operator.Client, error) {
 	addresses := f.operators
 	if len(addresses) == 0 {
 		addresses = []string{defaultOperator}
 	}
-	return operator.NewClient(addresses, &http.Client{Timeout: responseTimeout})
+	client := &http.Client{Timeout: responseTimeout}
+	if f.tls == (credential.Files{}) {
+		return operator.NewClient(addresses, client), nil
+	}
+	if f.tls.Authorities == "" {
+		return nil, usageError.New("the authorities are missing; give --authorities with --certificate and --key")
+	}
+	c, err := credential.New(f.tls, credential.Client, credential.Dependencies{})
+	if err != nil {
+		return nil, err
+	}
+	client.Transport = &http.Transport{TLSClientConfig: c.ClientConfig()}
+	return operator.NewTLSClient(addresses, client), nil
 }
 
 // changeFlags describe one change.
@@ -128,7 +145,11 @@
 			return err
 		}
 	}
-	object, err := f.client().Commit(ctx, c)
+	client, err := f.client()
+	if err != nil {
+		return err
+	}
+	object, err := client.Commit(ctx, c)
 	if err != nil {
 		return err
 	}
@@ -148,7 +169,11 @@
 	f.attach(sub)
 	sub.AddPositionalValue(&f.name, "name", 1, true, "name of the object")
 	return command{sub: sub, run: func(ctx context.Context, p *printer) error {
-		object, err := f.client().Show(ctx, kind, f.name)
+		client, err := f.client()
+		if err != nil {
+			return err
+		}
+		object, err := client.Show(ctx, kind, f.name)
 		if err != nil {
 			return err
 		}
--- a/cmd/sapphiretack/inspect.go
+++ b/cmd/sapphiretack/inspect.go
@@ -14,10 +14,15 @@
 	var f clientFlags
 	sub := newCommand(&parser.Subcommand, output, "status", "show what a node knows about itself and the other instances",
 		"sapphiretack status",
-		"sapphiretack status --operator 10.20.1.11:7402 --operator 10.20.2.11:7402 --json")
+		"sapphiretack status --operator 10.20.1.11:7402 --operator 10.20.2.11:7402 --json",
+		"sapphiretack status --operator 10.20.1.11:7402 --authorities ca.pem --certificate operator.pem --key operator.key")
 	f.attach(sub)
 	return command{sub: sub, run: func(ctx context.Context, p *printer) error {
-		status, err := f.client().Status(ctx)
+		client, err := f.client()
+		if err != nil {
+			return err
+		}
+		status, err := client.Status(ctx)
 		if err != nil {
 			return err
 		}
@@ -47,7 +52,11 @@
 			}
 			q.Fingerprint = request.Fingerprint(n)
 		}
-		explanation, err := f.client().Explain(ctx, q)
+		client, err := f.client()
+		if err != nil {
+			return err
+		}
+		explanation, err := client.Explain(ctx, q)
 		if err != nil {
 			return err
 		}
--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-
-	"github.com/sapphiretack/sapphiretack/platform"
 )
 
 // The calls of the benchmark: callers that each send one call after the other, at a rate well below the capacity.
@@ -22,9 +20,14 @@
 
 // BenchmarkPath compares, in one run, a call straight to the backend server with a call through two nodes: the first node
 // of another service and the node beside the backend server. It reports the time at p50 and p99 and the processor time of
-// the whole process per call, callers and backend server included.
+// the whole process per call, callers and backend server included. The nodes use plain TCP or TLS on all listeners.
 func BenchmarkPath(b *testing.B) {
-	f := &fleet{t: b, platform: platform.NewFake(), instances: map[string]*instance{}, tickets: map[string]string{}, record: record{counts: map[string]int{}}, inputTimeout: waitLimit}
+	b.Run("plain", func(b *testing.B) { benchmarkPath(b, nil) })
+	b.Run("tls", func(b *testing.B) { benchmarkPath(b, newCertificates(b)) })
+}
+
+func benchmarkPath(b *testing.B, c *certificates) {
+	f := newFleet(b, c)
 	defer f.close()
 	f.prepare("registry-1", "registry", "a")
 	f.prepare("transfers-1", "transfers", "a")
@@ -35,15 +38,20 @@
 	f.commit("registry-1", "customers", "club-17", "2", `{"template": "club", "parameters": {}}`)
 	registry, transfers := f.instances["registry-1"], f.instances["transfers-1"]
 	b.Run("direct", func(b *testing.B) {
-		measure(b, registry.settings.Backend.URL+"/look-up")
+		measure(b, &http.Transport{}, registry.settings.Backend.URL+"/look-up")
 	})
 	b.Run("two-nodes", func(b *testing.B) {
-		measure(b, "http://"+transfers.settings.Listeners.Caller.String()+"/call/registry/look-up")
+		transport := &http.Transport{}
+		if c != nil {
+			transport.TLSClientConfig = c.client()
+		}
+		measure(b, transport, f.url(transfers.settings.Listeners.Caller)+"/call/registry/look-up")
 	})
 }
 
-func measure(b *testing.B, url string) {
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchCallers}}
+func measure(b *testing.B, transport *http.Transport, url string) {
+	transport.MaxIdleConnsPerHost = benchCallers
+	client := &http.Client{Transport: transport}
 	times := make([][]time.Duration, benchCallers)
 	before := processorTime()
 	var group errgroup.Group
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net"
@@ -41,10 +42,15 @@
 	record    record
 	// inputTimeout bounds slow callers.
 	inputTimeout time.Duration
+	// certificates makes all listeners use TLS; nil means plain TCP.
+	certificates *certificates
+	client       *http.Client
+	log          zerolog.Logger // the zero value discards
 }
 
 // instance is one node with its backend server.
 type instance struct {
+	node      *node.Node
 	settings  settings.Settings
 	listeners map[string]net.Listener
 	backend   *backendServer
@@ -67,16 +73,30 @@
 // Guards against parts that work alone and not together: routing, nested calls, streaming, tickets, forwarding, claims,
 // crashes, configuration and the planned stop, over real connections.
 func TestFleet(t *testing.T) {
+	runFleets(t, func(*testing.T) *certificates { return nil })
+}
+
+func newFleet(t testing.TB, c *certificates) *fleet {
+	f := &fleet{
+		t:         t,
+		platform:  platform.NewFake(),
+		instances: map[string]*instance{},
+		tickets:   map[string]string{},
+		record:    record{counts: map[string]int{}},
+
+		inputTimeout: waitLimit,
+		certificates: c,
+		client:       http.DefaultClient,
+	}
+	if c != nil {
+		f.client = &http.Client{Transport: c.transport()}
+	}
+	return f
+}
+
+func runFleets(t *testing.T, newCertificates func(t *testing.T) *certificates) {
 	datadriven.Walk(t, "testdata/fleet", func(t *testing.T, path string) {
-		f := &fleet{
-			t:         t,
-			platform:  platform.NewFake(),
-			instances: map[string]*instance{},
-			tickets:   map[string]string{},
-			record:    record{counts: map[string]int{}},
-
-			inputTimeout: waitLimit,
-		}
+		f := newFleet(t, newCertificates(t))
 		defer f.close()
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
@@ -150,7 +170,7 @@
 		address[field] = l.Addr().(*net.TCPAddr).AddrPort()
 		in.listeners[address[field].String()] = l
 	}
-	in.backend = &backendServer{record: &f.record, loopback: "http://" + address["loopback"].String(), service: service, address: "127.0.0.1:0"}
+	in.backend = &backendServer{record: &f.record, loopback: "http://" + address["loopback"].String(), service: service, address: "127.0.0.1:0", release: make(chan struct{})}
 	in.backend.start(f.t)
 	var seeds []netip.AddrPort
 	for _, other := range f.instances {
@@ -170,9 +190,20 @@
 		Timeouts: settings.Timeouts{Header: f.inputTimeout, Body: f.inputTimeout, Idle: f.inputTimeout},
 		Stop:     waitLimit,
 	}
+	if f.certificates != nil {
+		in.settings.TLS = f.certificates.files(name)
+	}
 	f.instances[name] = in
 }
 
+// url returns the URL of a caller or operator listener.
+func (f *fleet) url(address netip.AddrPort) string {
+	if f.certificates != nil {
+		return "https://" + address.String()
+	}
+	return "http://" + address.String()
+}
+
 func (f *fleet) run(in *instance) {
 	spans, err := trace.New(context.Background(), trace.Settings{Exporter: trace.None}, "", "", "")
 	if err != nil {
@@ -180,7 +211,7 @@
 	}
 	n, err := node.New(node.Dependencies{
 		Settings: in.settings,
-		Log:      zerolog.Nop(),
+		Log:      f.log,
 		Table:    f.platform,
 		Spans:    spans,
 		Listen: func(_, address string) (net.Listener, error) {
@@ -191,7 +222,7 @@
 		f.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	in.stop = cancel
+	in.node, in.stop = n, cancel
 	f.group.Go(func() error {
 		defer close(in.done)
 		return n.Run(ctx)
@@ -208,7 +239,7 @@
 }
 
 func (f *fleet) get(name, path string) string {
-	response, err := http.Get("http://" + f.instances[name].settings.Listeners.Operator.String() + path)
+	response, err := f.client.Get(f.url(f.instances[name].settings.Listeners.Operator) + path)
 	if err != nil {
 		return err.Error()
 	}
@@ -223,9 +254,9 @@
 
 // commit commits a new object at one node and waits until all nodes have it in force.
 func (f *fleet) commit(at, kind, name, version, document string) string {
-	url := fmt.Sprintf("http://%s/v1/%s/%s?revision=0&change=%032s", f.instances[at].settings.Listeners.Operator, kind, name, version)
+	url := fmt.Sprintf("%s/v1/%s/%s?revision=0&change=%032s", f.url(f.instances[at].settings.Listeners.Operator), kind, name, version)
 	r, _ := http.NewRequest(http.MethodPut, url, strings.NewReader(document))
-	response, err := http.DefaultClient.Do(r)
+	response, err := f.client.Do(r)
 	if err != nil {
 		return err.Error()
 	}
@@ -244,7 +275,7 @@
 
 func (f *fleet) session(d *datadriven.TestData) string {
 	r, _ := http.NewRequest(http.MethodPost, f.callerURL(d)+"/session", nil)
-	response, err := http.DefaultClient.Do(r)
+	response, err := f.client.Do(r)
 	if err != nil {
 		return err.Error()
 	}
@@ -257,7 +288,7 @@
 }
 
 func (f *fleet) callerURL(d *datadriven.TestData) string {
-	return "http://" + f.instances[arg(d, "at")].settings.Listeners.Caller.String()
+	return f.url(f.instances[arg(d, "at")].settings.Listeners.Caller)
 }
 
 // call sends one call; its headers are the arguments, its body is the input.
@@ -275,7 +306,7 @@
 	if t := arg(d, "ticket"); t != "" {
 		r.Header.Set("Sapphiretack-Ticket", f.tickets[t])
 	}
-	response, err := http.DefaultClient.Do(r)
+	response, err := f.client.Do(r)
 	if err != nil {
 		return err.Error()
 	}
@@ -310,7 +341,7 @@
 // raw sends the input as it is, with \r\n line ends and the repetition of a byte that "repeat" asks for, closes the sending
 // side if "half-close" is given, and returns the status line of the response.
 func (f *fleet) raw(d *datadriven.TestData) string {
-	c, err := net.Dial("tcp", f.instances[arg(d, "at")].settings.Listeners.Caller.String())
+	c, err := f.dial(f.instances[arg(d, "at")].settings.Listeners.Caller.String())
 	if err != nil {
 		return err.Error()
 	}
@@ -329,7 +360,7 @@
 		return err.Error()
 	}
 	if d.HasArg("half-close") {
-		_ = c.(*net.TCPConn).CloseWrite()
+		_ = c.(interface{ CloseWrite() error }).CloseWrite()
 	}
 	_ = c.SetReadDeadline(time.Now().Add(waitLimit))
 	data, err := io.ReadAll(c)
@@ -340,6 +371,13 @@
 	return line + " " + field(string(data), "reason")
 }
 
+func (f *fleet) dial(address string) (net.Conn, error) {
+	if f.certificates != nil {
+		return tls.Dial("tcp", address, f.certificates.client())
+	}
+	return net.Dial("tcp", address)
+}
+
 // restart starts the backend servers that crashed, and waits until their nodes have seen it.
 func (f *fleet) restart() string {
 	var lines []string
@@ -397,6 +435,7 @@
 	address  string
 	server   *httptest.Server
 	crashed  atomic.Bool
+	release  chan struct{} // ends the operation hold
 	listener atomic.Pointer[net.Listener]
 }
 
@@ -444,6 +483,11 @@
 		http.Error(w, "no such bird", http.StatusInternalServerError)
 	case "crash":
 		b.crash()
+	case "hold":
+		fmt.Fprint(w, "begin")
+		_ = http.NewResponseController(w).Flush()
+		<-b.release
+		fmt.Fprint(w, " end")
 	case "slow":
 		time.Sleep(300 * time.Millisecond)
 		fmt.Fprint(w, "finished")
--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,7 @@
 	replica     *configuration.Replica
 	metrics     *nodeMetrics
 	peers       *peers
+	security    *security
 	workers     *workers
 	executions  *executions
 	sources     *sources
@@ -94,6 +95,10 @@
 	if err != nil {
 		return nil, Error.New("backend URL %q: %v; correct backend.url", d.Settings.Backend.URL, err)
 	}
+	security, err := newSecurity(d.Settings.TLS)
+	if err != nil {
+		return nil, err
+	}
 	start := time.Now()
 	random := newRandom()
 	i := d.Settings.Instance
@@ -111,6 +116,7 @@
 		replica:     configuration.NewReplica(),
 		metrics:     newNodeMetrics(),
 		peers:       newPeers(),
+		security:    security,
 		workers:     newWorkers(),
 		executions:  newExecutions(),
 		sources:     newSources(),
@@ -151,6 +157,9 @@
 		wake:    make(chan struct{}, 1),
 		machine: configuration.NewPoller(configuration.PollSettings{Instance: i.Name, Zone: i.Zone}, n.clock.now(), newRandom()),
 	}
+	if security.peer != nil {
+		n.peers.credentials = n.peerCredentials
+	}
 	n.destination = newDestination(n)
 	return n, nil
 }
--- a/node/peers.go
+++ b/node/peers.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
@@ -27,7 +28,8 @@
 
 // peers holds one gRPC connection for each peer address.
 type peers struct {
-	credentials grpc.DialOption
+	// credentials returns the transport credentials for an address.
+	credentials func(address string) credentials.TransportCredentials
 	control     atomic.Uint64 // bytes
 
 	mu          sync.Mutex
@@ -36,7 +38,7 @@
 
 func newPeers() *peers {
 	return &peers{
-		credentials: grpc.WithTransportCredentials(insecure.NewCredentials()),
+		credentials: func(string) credentials.TransportCredentials { return insecure.NewCredentials() },
 		connections: map[string]*grpc.ClientConn{},
 	}
 }
@@ -50,7 +52,7 @@
 	}
 	// The passthrough scheme keeps gRPC from resolving names: peers have IP addresses only.
 	c, err := grpc.NewClient("passthrough:///"+address,
-		p.credentials,
+		grpc.WithTransportCredentials(p.credentials(address)),
 		grpc.WithDisableRetry(), // the request's budget decides on retries
 		grpc.WithDisableServiceConfig(),
 		grpc.WithIdleTimeout(peerIdleTimeout),
--- a/node/run.go
+++ b/node/run.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/sapphiretack/sapphiretack/admission"
+	"github.com/sapphiretack/sapphiretack/credential"
 	"github.com/sapphiretack/sapphiretack/member"
 	"github.com/sapphiretack/sapphiretack/request"
 )
@@ -36,12 +37,12 @@
 	control, stopControl := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopControl()
 	var group run.Group
-	n.addServer(&group, listeners.caller, n.callerHandler())
-	n.addServer(&group, listeners.loopback, n.loopbackHandler())
-	n.addServer(&group, listeners.operator, n.operatorHandler())
+	n.addServer(&group, listeners.caller, n.callerHandler(), n.security.caller)
+	n.addServer(&group, listeners.loopback, n.loopbackHandler(), nil)
+	n.addServer(&group, listeners.operator, n.operatorHandler(), n.security.operator)
 	n.addPeerServer(&group, listeners.peer)
 	for _, work := range []func(context.Context) error{
-		n.workers.run, n.members.run, n.destination.health.watch, n.tick, n.poller.run, n.announce,
+		n.workers.run, n.members.run, n.destination.health.watch, n.tick, n.poller.run, n.announce, n.watchSecurity,
 	} {
 		ctx, cancel := context.WithCancel(control)
 		group.Add(func() error { return work(ctx) }, func(error) { cancel() })
@@ -138,10 +139,12 @@
 	}
 }
 
-func (n *Node) addServer(group *run.Group, l net.Listener, h http.Handler) {
+// addServer serves HTTP/1.1 and h2, over TLS if there is a credential.
+func (n *Node) addServer(group *run.Group, l net.Listener, h http.Handler, c *credential.Credential) {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
+	protocols.SetHTTP2(c != nil)
+	protocols.SetUnencryptedHTTP2(c == nil)
 	server := &http.Server{
 		Handler:           h,
 		Protocols:         &protocols,
@@ -150,8 +153,14 @@
 		MaxHeaderBytes:    n.settings.Limits.HeaderBytes,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: n.settings.Limits.Streams},
 	}
+	serve := func() error { return server.Serve(l) }
+	if c != nil {
+		server.TLSConfig = c.ServerConfig("h2", "http/1.1")
+		server.ErrorLog = n.serverLog()
+		serve = func() error { return server.ServeTLS(l, "", "") }
+	}
 	group.Add(func() error {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := serve(); !errors.Is(err, http.ErrServerClosed) {
 			return Error.Wrap(err)
 		}
 		return nil
--- a/node/server.go
+++ b/node/server.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
@@ -24,13 +25,21 @@
 }
 
 func (n *Node) newPeerServer() *grpc.Server {
-	s := grpc.NewServer(
+	options := []grpc.ServerOption{
 		grpc.MaxRecvMsgSize(maxPeerMessage),
 		grpc.MaxSendMsgSize(maxPeerMessage),
 		// A source may hold as many streams as this backend server has connections.
 		grpc.MaxConcurrentStreams(uint32(max(n.settings.Limits.Streams, n.settings.Backend.Connections))),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveInterval / 2, PermitWithoutStream: true}),
-	)
+	}
+	if c := n.security.peer; c != nil {
+		options = append(options,
+			grpc.Creds(credentials.NewTLS(c.ServerConfig("h2"))),
+			// The default of 120 s would let clients that never finish the handshake hold connections.
+			grpc.ConnectionTimeout(n.settings.Timeouts.Header),
+		)
+	}
+	s := grpc.NewServer(options...)
 	peer.RegisterPeerServer(s, &peerServer{node: n})
 	return s
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -27,12 +28,18 @@
 // Client talks to the operator listeners of one or several nodes, any of which can answer.
 type Client struct {
 	addresses []string
+	scheme    string
 	http      *http.Client
 }
 
 // NewClient returns a client of operator listeners; each address is an IP address with a port.
 func NewClient(addresses []string, c *http.Client) *Client {
-	return &Client{addresses: addresses, http: c}
+	return &Client{addresses: addresses, scheme: "http", http: c}
+}
+
+// NewTLSClient returns a client of operator listeners with TLS; the transport of c holds the configuration of TLS.
+func NewTLSClient(addresses []string, c *http.Client) *Client {
+	return &Client{addresses: addresses, scheme: "https", http: c}
 }
 
 // Commit sends a change, and sends the same change again while it is open whether it was applied.
@@ -108,7 +115,7 @@
 }
 
 func (c *Client) once(ctx context.Context, address, method, path string, body []byte, result any) *Error {
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(ctx, method, c.scheme+"://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return &Error{Kind: Malformed, Message: err.Error(), Remedy: "correct the address or the name"}
 	}
@@ -136,9 +143,24 @@
 	if errors.As(err, &operation) && operation.Op == "dial" {
 		return &Error{Kind: Unreachable, Message: fmt.Sprintf("no operator listener answers at %s: %v", address, operation.Err), Remedy: "name the operator listener of a running node"}
 	}
+	if isHandshakeError(err) {
+		return &Error{Kind: Unreachable, Message: fmt.Sprintf("no TLS connection to %s: %v", address, err), Remedy: "give the authorities of the listener, and a client certificate if it requires one; the certificate of the listener must hold its IP address"}
+	}
 	return &Error{Kind: Indeterminate, Message: fmt.Sprintf("the response of %s was lost: %v", address, err), Remedy: "send the request again"}
 }
 
+// isHandshakeError returns whether the handshake of TLS failed, so that the node did not see the request. A server refuses
+// a client certificate after the client has finished its part of the handshake, with an alert that names the certificate.
+func isHandshakeError(err error) bool {
+	var verification *tls.CertificateVerificationError
+	var record tls.RecordHeaderError
+	var operation *net.OpError
+	if errors.As(err, &verification) || errors.As(err, &record) {
+		return true
+	}
+	return errors.As(err, &operation) && operation.Op == "remote error" && strings.Contains(operation.Err.Error(), "certificate")
+}
+
 func statusError(address string, status int, data []byte) *Error {
 	var e Error
 	if json.Unmarshal(data, &e) == nil && e.Kind != "" {
@@ -148,7 +170,7 @@
 	if status >= http.StatusInternalServerError {
 		kind = Indeterminate
 	}
-	return &Error{Kind: kind, Message: fmt.Sprintf("%s responded with status %d: %s", address, status, strings.TrimSpace(string(data))), Remedy: "check that it is an operator listener"}
+	return &Error{Kind: kind, Message: fmt.Sprintf("%s responded with status %d: %s", address, status, strings.TrimSpace(string(data))), Remedy: "check that it is an operator listener, and give the authorities if it uses TLS"}
 }
 
 // wait returns false if the context ends first.
