--- a/node/security_test.go
+++ b/node/security_test.go
@@ -98,8 +98,8 @@
 	runFleets(t, func(t *testing.T) *certificates { return newCertificates(t) })
 }
 
-const holdTemplate = `{"operations": [
-	{"service": "registry", "operation": "hold", "class": "bulk", "idempotent": true, "timeout_ms": 30000, "extra_attempts": 0}
+const streamTemplate = `{"operations": [
+	{"service": "registry", "operation": "stream", "class": "bulk", "idempotent": true, "timeout_ms": 30000, "extra_attempts": 0}
 ], "parameters": [{"name": "rate_per_second", "default": 1000, "min": 1, "max": 10000}]}`
 
 // Guards against a reload that cuts a call in progress, and against nodes that keep the former files after it.
@@ -110,10 +110,10 @@
 	f.prepare("registry-1", "registry", "a")
 	f.prepare("transfers-1", "transfers", "a")
 	f.startPrepared([]string{"registry-1", "transfers-1"})
-	f.commit("registry-1", "templates", "club", "1", holdTemplate)
+	f.commit("registry-1", "templates", "club", "1", streamTemplate)
 	f.commit("registry-1", "customers", "club-17", "2", `{"template": "club", "parameters": {}}`)
 	caller := f.instances["transfers-1"].settings.Listeners.Caller
-	r, err := http.NewRequest(http.MethodPost, f.url(caller)+"/call/registry/hold", nil)
+	r, err := http.NewRequest(http.MethodPost, f.url(caller)+"/call/registry/stream", nil)
 	qt.Assert(t, err, qt.IsNil)
 	r.Header.Set("Sapphiretack-Customer", "club-17")
 	response, err := f.client.Do(r)
@@ -139,7 +139,7 @@
 	f.startPrepared([]string{"registry-2"})
 
 	for _, in := range f.instances {
-		close(in.backend.release)
+		close(in.backend.hold)
 	}
 	rest, err := io.ReadAll(response.Body)
 	qt.Check(t, err, qt.IsNil)
