node: refuse no copy of an attempt that is running

Cause: a second copy of an attempt got a refusal while the first one ran. A source takes a refusal as the proof that the attempt was not run. gRPC does not deliver copies, so only a faulty source meets it. Change: a copy gets a status error.

--- a/node/destination.go
+++ b/node/destination.go
@@ -184,6 +184,10 @@
 			span.SetAttributes(attribute.Int64("queued_ns", int64(d.node.clock.now().Sub(arrived))))
 			return d.run(ctx, m, arrive.Attempt, send)
 		case admission.Refuse:
+			if action.Reason == request.InProgress {
+				// A copy of an attempt that is known here; a refusal would claim that the attempt does not run.
+				return status.Error(codes.AlreadyExists, "the attempt has arrived before; its first copy has the response")
+			}
 			d.forget(arrive.Attempt)
 			reason, retryAfter = action.Reason, action.RetryAfter
 		}
--- a/node/source.go
+++ b/node/source.go
@@ -339,9 +339,6 @@
 	path := pathLevel{level: request.Priority(e.load.GetPathLevel()), service: request.ServiceID(e.load.GetPathService())}
 	c.node.routes.observePath(now, c.out.plan, path)
 	c.result.path = path
-	if r, ok := e.event.(call.Refused); ok {
-		t.Refused(now, at.choice.Instance, c.out.plan.Priority, now.Add(r.RetryAfter))
-	}
 }
 
 // release frees the places of attempts that ended without an event, because the call had ended before.
