--- a/experiment/instance.go
+++ b/experiment/instance.go
@@ -13,11 +13,6 @@
 // coldFactor multiplies the service time of a backend server that has just started; it falls to 1 over the cold start time.
 const coldFactor = 5
 
-// probeShare is lower than the default of route, 0.01. At ten times the load the
-// probes of that share made 4% to 8% of all work waste; levels rise without
-// them, since the destination measures its spare capacity.
-const probeShare = 0.001
-
 // instance is a fake backend server and its node.
 type instance struct {
 	sim         *simulation
@@ -66,9 +61,7 @@
 		attempts: make(map[request.AttemptID]*attempt),
 		ratio:    new(budget.Ratio), requests: budget.NewRequests(budget.DefaultSettings),
 	}
-	settings := route.DefaultSettings(id, zone, "region")
-	settings.ProbeShare = probeShare
-	in.table = route.New(settings, rand.New(rand.NewPCG(seed, 7)))
+	in.table = route.New(route.DefaultSettings(id, zone, "region"), rand.New(rand.NewPCG(seed, 7)))
 	in.gate = newGate(in)
 	return in
 }
--- a/route/level.go
+++ b/route/level.go
@@ -11,9 +11,9 @@
 
 const (
 	levelUnit = 256
-	// A report moves the level by an eighth of the difference. Responses come from different instances, and one overloaded instance of several
+	// A report moves the level by a quarter of the difference. Responses come from different instances, and one overloaded instance of several
 	// lowers the level only by its share of the responses.
-	levelWeight = 8
+	levelWeight = 4
 	// maxPaths bounds the memory for levels; 74 services with about 50 operations each need 3,700.
 	maxPaths = 4096
 )
--- a/route/settings.go
+++ b/route/settings.go
@@ -38,7 +38,8 @@
 		RefusalLife: 250 * time.Millisecond,
 		BrokenMin:   50 * time.Millisecond,
 		BrokenMax:   time.Second,
-		ProbeShare:  0.01,
+		// At ten times the load a share of 0.01 wasted 4% to 8% of the work (docs/measurements.md).
+		ProbeShare: 0.001,
 	}
 }
 
--- a/session/settings.go
+++ b/session/settings.go
@@ -25,7 +25,7 @@
 }
 
 // The defaults. The totals keep the package under 96 MB of the 256 MB that a node may use: 64 MiB of responses,
-// and records and tickets as docs/capacity-session.md measures them.
+// and records and tickets as docs/CAPACITY.md measures them.
 const (
 	defaultTicketsPerCaller = 64
 	defaultTickets          = 16 << 10
