--- a/node/caller.go
+++ b/node/caller.go
@@ -217,7 +217,7 @@
 	if res, refused := n.shed(in.out.plan); refused {
 		return res
 	}
-	return n.converse(ctx, in.out, n.account(in), r)
+	return n.runCall(ctx, in.out, n.account(in), r)
 }
 
 // shed refuses a call whose path would refuse it further down, before any work is done for it.
--- a/node/claims.go
+++ b/node/claims.go
@@ -99,7 +99,7 @@
 	a := newAnswer(n.settings.Limits.PartBytes)
 	detached := context.WithoutCancel(ctx)
 	n.inFlight.Go(func() error {
-		res := n.converse(detached, c.out, c.account, a)
+		res := n.runCall(detached, c.out, c.account, a)
 		var end session.ClaimEvent = session.ClaimFinished{Customer: claim.Customer, Key: claim.Key}
 		if res.outcome == request.NotRun {
 			end = session.ClaimReleased{Customer: claim.Customer, Key: claim.Key}
--- a/node/effect.go
+++ b/node/effect.go
@@ -113,7 +113,7 @@
 func (n *Node) startEffect(ctx context.Context, c effectCall, e session.Effect, a *answer) {
 	ctx = context.WithoutCancel(ctx)
 	n.inFlight.Go(func() error {
-		res := n.converse(ctx, c.out, c.account, a)
+		res := n.runCall(ctx, c.out, c.account, a)
 		end := session.End{Outcome: res.outcome, Reason: res.reason}
 		if res.outcome == request.Answered || res.outcome == request.Failed {
 			end.Response = a.response()
--- a/node/loopback.go
+++ b/node/loopback.go
@@ -99,7 +99,7 @@
 		if parent.isRepeated(nestedKey{position, out.plan.Fingerprint}) && !account.Spend() {
 			return result{outcome: request.Unknown, reason: request.RetriesExhausted}
 		}
-		return n.converse(ctx, out, account, r)
+		return n.runCall(ctx, out, account, r)
 	}
 	if parent.idempotent || parent.effect == "" {
 		return result{outcome: request.NotRun, reason: request.NestedEffect}
--- a/node/source.go
+++ b/node/source.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"io"
-	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/sapphiretack/sapphiretack/budget"
 	"github.com/sapphiretack/sapphiretack/call"
 	"github.com/sapphiretack/sapphiretack/member"
 	"github.com/sapphiretack/sapphiretack/peer"
@@ -51,119 +48,6 @@
 	attempts   int
 }
 
-// routes is the route table with its lock, and the service that limits each operation.
-type routes struct {
-	mu       sync.Mutex
-	table    *route.Table
-	limiting map[operationKey]request.ServiceID
-}
-
-type operationKey struct {
-	service   request.ServiceID
-	operation request.Operation
-}
-
-// maxLimiting bounds the operations whose limiting service is known; the level itself is kept by the route table.
-const maxLimiting = 4096
-
-// observePath records the level of an operation's path; the caller holds the lock.
-func (r *routes) observePath(now request.Instant, p call.Plan, path pathLevel) {
-	r.table.ObserveLevel(now, p.Service, p.Operation, path.level)
-	key := operationKey{p.Service, p.Operation}
-	if _, known := r.limiting[key]; known || len(r.limiting) < maxLimiting {
-		r.limiting[key] = path.service
-	}
-}
-
-// level returns the level of an operation's path and the service that limits it.
-func (r *routes) level(now request.Instant, s request.ServiceID, op request.Operation) pathLevel {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.lockedLevel(now, s, op)
-}
-
-func (r *routes) lockedLevel(now request.Instant, s request.ServiceID, op request.Operation) pathLevel {
-	limiting := r.limiting[operationKey{s, op}]
-	if limiting == "" {
-		limiting = s
-	}
-	return pathLevel{level: r.table.Level(now, s, op), service: limiting}
-}
-
-// shed reports whether the first node refuses the call, and the level of its path.
-func (r *routes) shed(now request.Instant, p call.Plan) (pathLevel, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.lockedLevel(now, p.Service, p.Operation), r.table.Shed(now, p.Service, p.Operation, p.Priority)
-}
-
-// Pick implements call.Router.
-func (r *routes) Pick(now request.Instant, s request.ServiceID, p request.Priority, excluded []request.InstanceID) (route.Choice, route.Verdict) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.table.Pick(now, s, p, excluded)
-}
-
-func (r *routes) update(f func(*route.Table)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	f(r.table)
-}
-
-// ratio is the retry ratio with its lock.
-type ratio struct {
-	mu    sync.Mutex
-	ratio budget.Ratio
-}
-
-// Allow implements call.Limiter.
-func (r *ratio) Allow(now request.Instant, s request.ServiceID) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.ratio.Allow(now, s)
-}
-
-// Succeeded implements call.Limiter.
-func (r *ratio) Succeeded(now request.Instant, s request.ServiceID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.ratio.Succeeded(now, s)
-}
-
-// sharedAccount is an account that several calls of one request draw on.
-type sharedAccount struct {
-	mu      sync.Locker
-	account *budget.Account
-}
-
-// Held implements call.Account.
-func (a sharedAccount) Held() uint32 {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.account.Held()
-}
-
-// Spend implements call.Account.
-func (a sharedAccount) Spend() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.account.Spend()
-}
-
-// Lend implements call.Account.
-func (a sharedAccount) Lend() budget.Loan {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.account.Lend()
-}
-
-// Return implements call.Account.
-func (a sharedAccount) Return(l *budget.Loan, left uint32) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.account.Return(l, left)
-}
-
 // attemptEvent is an event of one attempt, with the message that caused it.
 type attemptEvent struct {
 	event call.Event
@@ -178,8 +62,8 @@
 	observed bool
 }
 
-// conversation runs the machine of one call: it turns the streams of its attempts into events and carries out the actions.
-type conversation struct {
+// callRunner runs the machine of one call: it turns the streams of its attempts into events and carries out the actions.
+type callRunner struct {
 	node     *Node
 	ctx      context.Context
 	out      outgoing
@@ -195,12 +79,12 @@
 	done     bool
 }
 
-// converse sends a call and passes the parts of the response to the sink; it returns when the call has ended.
-func (n *Node) converse(ctx context.Context, out outgoing, account call.Account, s sink) result {
+// runCall sends a call and passes the parts of the response to the sink; it returns when the call has ended.
+func (n *Node) runCall(ctx context.Context, out outgoing, account call.Account, s sink) result {
 	ctx, span := n.tracer.Start(ctx, "call "+string(out.plan.Service)+"/"+string(out.plan.Operation))
 	defer span.End()
 	ctx, cancel := context.WithCancel(ctx)
-	c := &conversation{
+	c := &callRunner{
 		node:     n,
 		ctx:      ctx,
 		out:      out,
@@ -232,7 +116,7 @@
 	return c.result
 }
 
-func (c *conversation) loop() {
+func (c *callRunner) loop() {
 	c.apply(call.Start{}, nil)
 	gone := c.ctx.Done()
 	for !c.done {
@@ -249,7 +133,7 @@
 	}
 }
 
-func (c *conversation) apply(e call.Event, part *peer.Part) {
+func (c *callRunner) apply(e call.Event, part *peer.Part) {
 	c.actions = c.machine.Handle(c.node.clock.now(), e, c.actions[:0])
 	for _, action := range c.actions {
 		switch a := action.(type) {
@@ -276,7 +160,7 @@
 	}
 }
 
-func (c *conversation) pass(part *peer.Part) {
+func (c *callRunner) pass(part *peer.Part) {
 	if c.done || part == nil {
 		return
 	}
@@ -285,7 +169,7 @@
 	}
 }
 
-func (c *conversation) end(e call.End) {
+func (c *callRunner) end(e call.End) {
 	if c.done {
 		return
 	}
@@ -295,7 +179,7 @@
 }
 
 // observe updates the route table from the load that came with a message.
-func (c *conversation) observe(e attemptEvent) {
+func (c *callRunner) observe(e attemptEvent) {
 	id, ok := eventAttempt(e.event)
 	if !ok {
 		return
@@ -326,7 +210,7 @@
 	})
 }
 
-func (c *conversation) observeLoad(t *route.Table, now request.Instant, at *attempt, e attemptEvent) {
+func (c *callRunner) observeLoad(t *route.Table, now request.Instant, at *attempt, e attemptEvent) {
 	if e.load == nil {
 		return
 	}
@@ -342,7 +226,7 @@
 }
 
 // release frees the places of attempts that ended without an event, because the call had ended before.
-func (c *conversation) release() {
+func (c *callRunner) release() {
 	c.node.routes.update(func(t *route.Table) {
 		for _, at := range c.attempts {
 			if !at.observed {
@@ -370,7 +254,7 @@
 	return request.AttemptID{}, false
 }
 
-func (c *conversation) send(s call.Send) {
+func (c *callRunner) send(s call.Send) {
 	ctx, cancel := context.WithCancel(c.ctx)
 	c.attempts[s.Attempt] = &attempt{choice: s.Choice, cancel: cancel}
 	c.node.routes.update(func(t *route.Table) { t.Begin(c.node.clock.now(), s.Choice.Instance) })
@@ -402,7 +286,7 @@
 }
 
 // receive reads the stream of one attempt until it ends.
-func (c *conversation) receive(ctx context.Context, s call.Send, m *peer.CallRequest) {
+func (c *callRunner) receive(ctx context.Context, s call.Send, m *peer.CallRequest) {
 	var d delivery
 	stream, err := c.open(withDelivery(ctx, &d), s.Choice.Address, m)
 	if err != nil {
@@ -425,69 +309,15 @@
 	}
 }
 
-// callStream is the stream of responses to one attempt.
-type callStream interface {
-	Recv() (*peer.CallResponse, error)
-}
-
-func (c *conversation) open(ctx context.Context, address string, m *peer.CallRequest) (callStream, error) {
-	if address == c.node.address {
-		return c.node.localStream(ctx, &c.group, m), nil
-	}
-	client, err := c.node.peers.client(address)
-	if err != nil {
-		return nil, err
-	}
-	return client.Call(ctx, m)
-}
-
-// lossEvent is the event of a stream without an end. A message that was never handed to the transport cannot have been
-// run, so its loss is a refusal.
-func lossEvent(a request.AttemptID, d *delivery) attemptEvent {
-	if !d.sent.Load() {
-		return attemptEvent{event: call.Refused{Attempt: a, Reason: request.NoInstance}}
-	}
-	return attemptEvent{event: call.Broken{Attempt: a}}
-}
-
-func responseEvent(a request.AttemptID, m *peer.CallResponse) attemptEvent {
-	switch e := m.GetEvent().(type) {
-	case *peer.CallResponse_Part:
-		return attemptEvent{event: call.Part{Attempt: a, Index: e.Part.GetIndex()}, part: e.Part}
-	case *peer.CallResponse_Refusal:
-		return attemptEvent{event: call.Refused{
-			Attempt:    a,
-			Reason:     request.Reason(e.Refusal.GetReason()),
-			RetryAfter: time.Duration(e.Refusal.GetRetryAfterNs()),
-		}, load: e.Refusal.GetLoad()}
-	case *peer.CallResponse_End:
-		if e.End.GetCrashed() {
-			return attemptEvent{event: call.Crashed{
-				Attempt:     a,
-				Incarnation: request.Incarnation(e.End.GetLoad().GetServerIncarnation()),
-				Returned:    e.End.GetReturnedAttempts(),
-			}, load: e.End.GetLoad()}
-		}
-		return attemptEvent{event: call.Finished{
-			Attempt:  a,
-			Parts:    e.End.GetParts(),
-			Outcome:  request.Outcome(e.End.GetOutcome()),
-			Reason:   request.Reason(e.End.GetReason()),
-			Returned: e.End.GetReturnedAttempts(),
-		}, load: e.End.GetLoad()}
-	}
-	return attemptEvent{event: call.Broken{Attempt: a}}
-}
-
 // report hands an event to the loop, unless the call has ended.
-func (c *conversation) report(e attemptEvent) {
+func (c *callRunner) report(e attemptEvent) {
 	select {
 	case c.events <- e:
 	case <-c.finished:
 	}
 }
 
-func (c *conversation) withdraw(w call.Withdraw) {
+func (c *callRunner) withdraw(w call.Withdraw) {
 	c.group.Go(func() error {
 		// The caller may be gone, and its context with it, but the reply decides on the outcome.
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), withdrawTimeout)
@@ -525,44 +355,3 @@
 	response, err := client.Withdraw(ctx, m)
 	return response.GetWithdrawn(), err
 }
-
-// localStream runs an attempt on the own backend server without a connection.
-func (n *Node) localStream(ctx context.Context, group *errgroup.Group, m *peer.CallRequest) callStream {
-	s := &localStream{ctx: ctx, messages: make(chan *peer.CallResponse)}
-	if d, ok := ctx.Value(deliveryKey{}).(*delivery); ok {
-		d.sent.Store(true)
-	}
-	group.Go(func() error {
-		defer close(s.messages)
-		return n.destination.call(ctx, m, s.send)
-	})
-	return s
-}
-
-// localStream connects the source and the destination of one node.
-type localStream struct {
-	ctx      context.Context
-	messages chan *peer.CallResponse
-}
-
-func (s *localStream) send(m *peer.CallResponse) error {
-	if p := m.GetPart(); p != nil {
-		// The destination reuses its buffer after send; a gRPC stream encodes the data before.
-		p.Data = append([]byte(nil), p.GetData()...)
-	}
-	select {
-	case s.messages <- m:
-		return nil
-	case <-s.ctx.Done():
-		return s.ctx.Err()
-	}
-}
-
-// Recv returns the next message, or io.EOF after the last.
-func (s *localStream) Recv() (*peer.CallResponse, error) {
-	m, ok := <-s.messages
-	if !ok {
-		return nil, io.EOF
-	}
-	return m, nil
-}
--- /dev/null
+++ b/node/stream.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphiretack/sapphiretack/call"
+	"github.com/sapphiretack/sapphiretack/peer"
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+// callStream is the stream of responses to one attempt.
+type callStream interface {
+	Recv() (*peer.CallResponse, error)
+}
+
+func (c *callRunner) open(ctx context.Context, address string, m *peer.CallRequest) (callStream, error) {
+	if address == c.node.address {
+		return c.node.localStream(ctx, &c.group, m), nil
+	}
+	client, err := c.node.peers.client(address)
+	if err != nil {
+		return nil, err
+	}
+	return client.Call(ctx, m)
+}
+
+// lossEvent is the event of a stream without an end. A message that was never handed to the transport cannot have been
+// run, so its loss is a refusal.
+func lossEvent(a request.AttemptID, d *delivery) attemptEvent {
+	if !d.sent.Load() {
+		return attemptEvent{event: call.Refused{Attempt: a, Reason: request.NoInstance}}
+	}
+	return attemptEvent{event: call.Broken{Attempt: a}}
+}
+
+func responseEvent(a request.AttemptID, m *peer.CallResponse) attemptEvent {
+	switch e := m.GetEvent().(type) {
+	case *peer.CallResponse_Part:
+		return attemptEvent{event: call.Part{Attempt: a, Index: e.Part.GetIndex()}, part: e.Part}
+	case *peer.CallResponse_Refusal:
+		return attemptEvent{event: call.Refused{
+			Attempt:    a,
+			Reason:     request.Reason(e.Refusal.GetReason()),
+			RetryAfter: time.Duration(e.Refusal.GetRetryAfterNs()),
+		}, load: e.Refusal.GetLoad()}
+	case *peer.CallResponse_End:
+		if e.End.GetCrashed() {
+			return attemptEvent{event: call.Crashed{
+				Attempt:     a,
+				Incarnation: request.Incarnation(e.End.GetLoad().GetServerIncarnation()),
+				Returned:    e.End.GetReturnedAttempts(),
+			}, load: e.End.GetLoad()}
+		}
+		return attemptEvent{event: call.Finished{
+			Attempt:  a,
+			Parts:    e.End.GetParts(),
+			Outcome:  request.Outcome(e.End.GetOutcome()),
+			Reason:   request.Reason(e.End.GetReason()),
+			Returned: e.End.GetReturnedAttempts(),
+		}, load: e.End.GetLoad()}
+	}
+	return attemptEvent{event: call.Broken{Attempt: a}}
+}
+
+// localStream runs an attempt on the own backend server without a connection.
+func (n *Node) localStream(ctx context.Context, group *errgroup.Group, m *peer.CallRequest) callStream {
+	s := &localStream{ctx: ctx, messages: make(chan *peer.CallResponse)}
+	if d, ok := ctx.Value(deliveryKey{}).(*delivery); ok {
+		d.sent.Store(true)
+	}
+	group.Go(func() error {
+		defer close(s.messages)
+		return n.destination.call(ctx, m, s.send)
+	})
+	return s
+}
+
+// localStream connects the source and the destination of one node.
+type localStream struct {
+	ctx      context.Context
+	messages chan *peer.CallResponse
+}
+
+func (s *localStream) send(m *peer.CallResponse) error {
+	if p := m.GetPart(); p != nil {
+		// The destination reuses its buffer after send; a gRPC stream encodes the data before.
+		p.Data = append([]byte(nil), p.GetData()...)
+	}
+	select {
+	case s.messages <- m:
+		return nil
+	case <-s.ctx.Done():
+		return s.ctx.Err()
+	}
+}
+
+// Recv returns the next message, or io.EOF after the last.
+func (s *localStream) Recv() (*peer.CallResponse, error) {
+	m, ok := <-s.messages
+	if !ok {
+		return nil, io.EOF
+	}
+	return m, nil
+}
