sapphiretack: freeze and wake a node and a backend server in the process tests

Cause: no test with real processes froze one (SIGSTOP and SIGCONT). Change: a script freezes the node that issued a ticket until the others miss it, resends elsewhere, and wakes it; then a backend server.

--- a/cmd/sapphiretack/process_call_test.go
+++ b/cmd/sapphiretack/process_call_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -39,6 +40,25 @@
 	})
 }
 
+// missed waits until a node no longer takes another one for alive.
+func (f *fleet) missed(instance, via string) {
+	address := "http://" + f.settings(via).Listeners.Operator.String()
+	f.poll(instance+" missed", func() bool {
+		response, err := http.Get(address + "/v1/status")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		var s operator.Status
+		if json.NewDecoder(response.Body).Decode(&s) != nil {
+			return false
+		}
+		return slices.ContainsFunc(s.Members, func(m operator.MemberStatus) bool {
+			return string(m.Instance) == instance && m.State != "alive"
+		})
+	})
+}
+
 func aliveMembers(s operator.Status) int {
 	n := 0
 	for _, m := range s.Members {
--- a/cmd/sapphiretack/process_test.go
+++ b/cmd/sapphiretack/process_test.go
@@ -115,6 +115,17 @@
 		}
 	case "kill":
 		f.end(f.process(d), syscall.SIGKILL)
+	case "freeze":
+		f.end(f.process(d), syscall.SIGSTOP)
+	case "resume":
+		f.end(f.process(d), syscall.SIGCONT)
+	case "missed":
+		f.missed(argument(d, "instance"), argument(d, "via"))
+	case "settled":
+		// Whether a caller of a frozen node gets the response or unknown depends on how long it was frozen.
+		if outcome := f.outcome(argument(d, "id")); strings.HasPrefix(outcome, "not_run") {
+			return outcome
+		}
 	case "terminate":
 		f.end(f.process(d), syscall.SIGTERM)
 	case "exited":
