--- a/cmd/sapphiretack-load/trace.go
+++ b/cmd/sapphiretack-load/trace.go
@@ -76,6 +76,8 @@
 	defer f.Close()
 	var spans []span
 	decoder := json.NewDecoder(f)
+	// Numbers are printed as they stand, and not as floating-point numbers.
+	decoder.UseNumber()
 	for {
 		var s span
 		err := decoder.Decode(&s)
