node: close the connections of replaced instances

Cause: the map of peer connections grew with each new address, and idle connections stayed for five minutes. Change: connections to addresses that neither the member list nor the seeds hold are closed; idle ones after one minute; the local health score of the membership is a metric. The fleet tests run at the same time.

--- a/node/destination_test.go
+++ b/node/destination_test.go
@@ -16,6 +16,7 @@
 // Guards against a second copy of an attempt that is refused while the first one runs: a source would take the refusal as
 // the proof that the attempt was not run.
 func TestCopyOfAttemptIsNoRefusal(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, nil)
 	defer f.close()
 	f.prepare("registry-1", "registry", "a")
--- a/node/effect.go
+++ b/node/effect.go
@@ -26,10 +26,8 @@
 	s.nextWait++
 	waiter := s.nextWait
 	d := decide(s.table, waiter)
-	switch d.Verdict {
-	case session.Run:
+	if d.Verdict == session.Run {
 		s.answers[d.Effect] = newAnswer(limit)
-	case session.Wait, session.Replay, session.Forward, session.Refuse:
 	}
 	return d, waiter, s.answers[d.Effect]
 }
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -102,6 +102,7 @@
 // Guards against parts that work alone and not together: routing, nested calls, streaming, tickets, forwarding, claims,
 // crashes, configuration and the planned stop, over real connections.
 func TestFleet(t *testing.T) {
+	t.Parallel()
 	runFleets(t, func(*testing.T) *certificates { return nil })
 }
 
--- a/node/members.go
+++ b/node/members.go
@@ -216,12 +216,26 @@
 		})
 	}
 	n.routes.update(func(t *route.Table) { t.Update(routed) })
+	n.peers.forget(n.addresses(list))
 	n.metrics.members.Update(int64(len(list)))
 	if n.introduced.Load() {
 		n.pollMembers(list)
 	}
 }
 
+// addresses returns the peer addresses of the members and of the seeds. Replaced instances leave the list after a while,
+// and their connections must not stay.
+func (n *Node) addresses(list []member.Member) map[string]struct{} {
+	keep := make(map[string]struct{}, len(list)+len(n.settings.Seeds))
+	for _, m := range list {
+		keep[m.Address] = struct{}{}
+	}
+	for _, s := range n.settings.Seeds {
+		keep[s.String()] = struct{}{}
+	}
+	return keep
+}
+
 func routeState(s member.State) route.State {
 	switch s {
 	case member.Alive:
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -36,6 +36,7 @@
 	limit    metrics.Gauge
 	members  metrics.Gauge
 	version  metrics.Gauge
+	health   metrics.Gauge
 }
 
 func newNodeMetrics() *nodeMetrics {
@@ -52,6 +53,7 @@
 		limit:    metrics.GetOrRegisterGauge("admission_limit", r),
 		members:  metrics.GetOrRegisterGauge("members", r),
 		version:  metrics.GetOrRegisterGauge("configuration_version", r),
+		health:   metrics.GetOrRegisterGauge("membership_health", r), // 0 is healthy
 	}
 	for c := range request.Class(request.ClassCount) {
 		m.latency[c] = newHistogram(metric.Name("request_time_ns", "class", c.String()), r)
--- a/node/peers.go
+++ b/node/peers.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// peerIdleTimeout closes connections to peers outside the subset that were used for a while only.
-	peerIdleTimeout = 5 * time.Minute
+	// peerIdleTimeout closes connections to peers outside the subset that were used for a while only. Gossip meets about 0.35
+	// new peers a second, so that one minute keeps about 37 connections for it, near peers included.
+	peerIdleTimeout = time.Minute
 	// keepaliveInterval finds a peer that froze or was cut off without closing its connections.
 	keepaliveInterval = 10 * time.Second
 	keepaliveTimeout  = 3 * time.Second
--- a/node/run.go
+++ b/node/run.go
@@ -218,6 +218,10 @@
 	n.metrics.queued.Update(int64(l.Queued))
 	n.metrics.limit.Update(int64(l.Limit))
 	n.metrics.version.Update(int64(n.replica.Version()))
+	n.members.mu.Lock()
+	health := n.members.machine.Health()
+	n.members.mu.Unlock()
+	n.metrics.health.Update(int64(health))
 }
 
 // running returns the number of effects in flight under tickets of this node.
--- a/node/security_test.go
+++ b/node/security_test.go
@@ -95,6 +95,7 @@
 
 // Guards against a part of the path of a call, of the operator interface or of the gossip that works over plain TCP only.
 func TestFleetTLS(t *testing.T) {
+	t.Parallel()
 	runFleets(t, func(t *testing.T) *certificates { return newCertificates(t) })
 }
 
@@ -104,6 +105,7 @@
 
 // Guards against a reload that cuts a call in progress, and against nodes that keep the former files after it.
 func TestReload(t *testing.T) {
+	t.Parallel()
 	c := newCertificates(t)
 	f := newFleet(t, c)
 	defer f.close()
@@ -149,6 +151,7 @@
 
 // Guards against a node that cannot join because of its authorities and does not say so.
 func TestRefusalLogged(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, newCertificates(t))
 	defer f.close()
 	f.prepare("registry-1", "registry", "a")
@@ -181,6 +184,7 @@
 
 // Guards against a party without TLS or without a certificate that is served, or that holds a connection.
 func TestRefused(t *testing.T) {
+	t.Parallel()
 	c := newCertificates(t)
 	f := newFleet(t, c)
 	defer f.close()
