node: forget sources that send nothing any more

Cause: the table of sources was pruned only when the instance left, so that it kept the names of replaced instances. Change: old sources are dropped when the members change; reading the recent ones changes nothing.

--- a/node/members.go
+++ b/node/members.go
@@ -217,6 +217,7 @@
 	}
 	n.routes.update(func(t *route.Table) { t.Update(routed) })
 	n.peers.forget(n.addresses(list))
+	n.sources.forgetOld(n.clock.now())
 	n.metrics.members.Update(int64(len(list)))
 	if n.introduced.Load() {
 		n.pollMembers(list)
@@ -336,17 +337,26 @@
 	s.last[id] = now
 }
 
-// recent returns the sources of the last minute and forgets the others.
-func (s *sources) recent(now request.Instant) []request.InstanceID {
+// forgetOld drops the sources that sent nothing for a minute.
+func (s *sources) forgetOld(now request.Instant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var ids []request.InstanceID
 	for id, at := range s.last {
 		if now.Sub(at) > sourceMemory {
 			delete(s.last, id)
-			continue
 		}
-		ids = append(ids, id)
+	}
+}
+
+// recent returns the sources of the last minute.
+func (s *sources) recent(now request.Instant) []request.InstanceID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []request.InstanceID
+	for id, at := range s.last {
+		if now.Sub(at) <= sourceMemory {
+			ids = append(ids, id)
+		}
 	}
 	return ids
 }
--- a/node/peers_test.go
+++ b/node/peers_test.go
@@ -3,10 +3,12 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/sapphiretack/sapphiretack/member"
+	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/settings"
 )
 
@@ -24,3 +26,14 @@
 	_, kept := n.peers.connections["127.0.0.1:3"]
 	qt.Assert(t, kept, qt.IsFalse)
 }
+
+// Guards against sources that pile up, and against a notice of departure that leaves out a recent source.
+func TestSourcesAreForgotten(t *testing.T) {
+	s := newSources()
+	s.seen("old", 0)
+	now := request.Instant(2 * time.Minute)
+	s.seen("recent", now)
+	s.forgetOld(now)
+	qt.Assert(t, len(s.last), qt.Equals, 1)
+	qt.Assert(t, s.recent(now), qt.DeepEquals, []request.InstanceID{"recent"})
+}
