node: send effects under tickets and under keys with the same code

Cause: both paths had the goroutine that runs an effect without its caller; the load of a destination asked the controller for its level twice. Change: startDetached serves both. Behaviour is unchanged.

--- a/node/claims.go
+++ b/node/claims.go
@@ -97,16 +97,12 @@
 	}
 	c.out.effect = resolved.Effect.String()
 	a := newAnswer(n.settings.Limits.PartBytes)
-	detached := context.WithoutCancel(ctx)
-	n.inFlight.Go(func() error {
-		res := n.runCall(detached, c.out, c.account, a)
+	n.startDetached(ctx, c, a, func(res result) {
 		var end session.ClaimEvent = session.ClaimFinished{Customer: claim.Customer, Key: claim.Key}
 		if res.outcome == request.NotRun {
 			end = session.ClaimReleased{Customer: claim.Customer, Key: claim.Key}
 		}
 		n.claims.handle(end)
-		a.end(res)
-		return nil
 	})
 	res, err := a.copyTo(ctx, r)
 	if err != nil {
--- a/node/destination.go
+++ b/node/destination.go
@@ -351,14 +351,13 @@
 // load returns what sources learn with each response; path is the lowest level of the nested calls.
 func (d *destination) load(path pathLevel) *peer.Load {
 	d.mu.Lock()
-	level := d.controller.Level()
 	l := d.controller.Load()
 	d.mu.Unlock()
-	if path.service == "" || level <= path.level {
-		path = pathLevel{level: level, service: d.node.settings.Instance.Service}
+	if path.service == "" || l.Level <= path.level {
+		path = pathLevel{level: l.Level, service: d.node.settings.Instance.Service}
 	}
 	return &peer.Load{
-		Level:       uint32(level),
+		Level:       uint32(l.Level),
 		PathLevel:   uint32(path.level),
 		PathService: string(path.service),
 		InFlight:    uint32(l.InFlight),
--- a/node/effect.go
+++ b/node/effect.go
@@ -107,16 +107,24 @@
 	return result{outcome: d.Outcome, reason: d.Reason}
 }
 
-// startEffect sends the effect in a goroutine of the node, since it goes on when its caller goes away.
+// startEffect sends an effect under a ticket and records how it ended.
 func (n *Node) startEffect(ctx context.Context, c effectCall, e session.Effect, a *answer) {
-	ctx = context.WithoutCancel(ctx)
-	n.inFlight.Go(func() error {
-		res := n.runCall(ctx, c.out, c.account, a)
+	n.startDetached(ctx, c, a, func(res result) {
 		end := session.End{Outcome: res.outcome, Reason: res.reason}
 		if res.outcome == request.Answered || res.outcome == request.Failed {
 			end.Response = a.response()
 		}
 		n.sessions.finish(n.clock.now(), e, end)
+	})
+}
+
+// startDetached sends an effect in a goroutine of the node, since it goes on when its caller goes away. The outcome is
+// recorded before the answer ends, so that a resend after the answer meets the record.
+func (n *Node) startDetached(ctx context.Context, c effectCall, a *answer, record func(result)) {
+	ctx = context.WithoutCancel(ctx)
+	n.inFlight.Go(func() error {
+		res := n.runCall(ctx, c.out, c.account, a)
+		record(res)
 		a.end(res)
 		return nil
 	})
