--- a/budget/ratio.go
+++ b/budget/ratio.go
@@ -17,11 +17,41 @@
 	maxFloor      = 3
 )
 
-// Ratio limits the retries of one source to a share of its successes, for each service; the zero value is ready for use.
+// RatioSettings are the limits of a Ratio; a field that is 0 has its default.
+type RatioSettings struct {
+	// SuccessesPerRetry is the number of successes that earn one retry.
+	SuccessesPerRetry uint32
+	// Floor is the number of retries that a service may have without successes, refilled by one each FloorInterval.
+	Floor         uint32
+	FloorInterval time.Duration
+}
+
+func (s RatioSettings) withDefaults() RatioSettings {
+	if s.SuccessesPerRetry == 0 {
+		s.SuccessesPerRetry = successesPerRetry
+	}
+	if s.Floor == 0 {
+		s.Floor = maxFloor
+	}
+	if s.FloorInterval == 0 {
+		s.FloorInterval = floorInterval
+	}
+	return s
+}
+
+// Ratio limits the retries of one source to a share of its successes, for each service; the zero value has the default
+// limits and is ready for use.
 type Ratio struct {
+	settings RatioSettings
 	services map[request.ServiceID]*allowance
 }
 
+// NewRatio returns a Ratio with the given limits.
+func NewRatio(s RatioSettings) *Ratio { return &Ratio{settings: s} }
+
+// SetFloor changes the retries without successes, for a fleet whose size has changed.
+func (r *Ratio) SetFloor(floor uint32) { r.settings.Floor = max(1, floor) }
+
 // allowance is what one service may still retry.
 type allowance struct {
 	successes uint32
@@ -38,11 +68,12 @@
 // Allow takes one retry from the allowance of the service and reports whether there was one.
 func (r *Ratio) Allow(now request.Instant, service request.ServiceID) bool {
 	a := r.service(now, service)
-	if a.successes >= successesPerRetry {
-		a.successes -= successesPerRetry
+	settings := r.settings.withDefaults()
+	if a.successes >= settings.SuccessesPerRetry {
+		a.successes -= settings.SuccessesPerRetry
 		return true
 	}
-	a.refill(now)
+	a.refill(now, settings)
 	if a.floor == 0 {
 		return false
 	}
@@ -57,16 +88,16 @@
 	if r.services == nil {
 		r.services = make(map[request.ServiceID]*allowance)
 	}
-	a := &allowance{floor: maxFloor, refilled: now}
+	a := &allowance{floor: r.settings.withDefaults().Floor, refilled: now}
 	r.services[service] = a
 	return a
 }
 
-func (a *allowance) refill(now request.Instant) {
-	n := now.Sub(a.refilled) / floorInterval
+func (a *allowance) refill(now request.Instant, s RatioSettings) {
+	n := now.Sub(a.refilled) / s.FloorInterval
 	if n <= 0 {
 		return
 	}
-	a.refilled = a.refilled.Add(n * floorInterval)
-	a.floor = uint32(min(n+time.Duration(a.floor), maxFloor))
+	a.refilled = a.refilled.Add(n * s.FloorInterval)
+	a.floor = uint32(min(n+time.Duration(a.floor), time.Duration(s.Floor)))
 }
--- a/cmd/sapphiretack/main.go
+++ b/cmd/sapphiretack/main.go
@@ -2,6 +2,7 @@
 //
 //	sapphiretack node --deployment deployments/golubarnik/deployment.json --instance racedesk-1
 //	sapphiretack template publish golubarnik deployments/golubarnik/template.json
+//	sapphiretack mesh --settings /etc/sapphiretack/node.json
 //	sapphiretack status
 //
 // The exit status is one of:
@@ -60,7 +61,7 @@
 	parser.Version = "development"
 	parser.AdditionalHelpAppend = exitHelp
 	var output outputFlags
-	commands := []command{nodeCommand(parser, &output), checkCommand(parser, &output)}
+	commands := []command{nodeCommand(parser, &output), meshCommand(parser, &output), checkCommand(parser, &output)}
 	commands = append(commands, configurationCommands(parser, &output)...)
 	commands = append(commands, statusCommand(parser, &output), explainCommand(parser, &output))
 	if err := parser.Parse(); err != nil {
--- a/configuration/poller_test.go
+++ b/configuration/poller_test.go
@@ -14,8 +14,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/sapphiretack/sapphiretack/configuration"
-	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/store"
 )
 
 // The time that a gossip message or a poll, and a fetch from a peer, take in the scripts. A fetch is slower, so that a node
@@ -55,8 +55,8 @@
 type cluster struct {
 	t         testing.TB
 	now       request.Instant
-	fake      *platform.Fake
-	fault     platform.Fault // of every request of a reader
+	fake      *store.Fake
+	fault     store.Fault // of every request of a reader
 	store     *configuration.Store
 	instances map[string]*instance
 	messages  []message
@@ -68,7 +68,7 @@
 }
 
 func newCluster(t testing.TB, seed uint64) *cluster {
-	fake := platform.NewFake()
+	fake := store.NewFake()
 	c := &cluster{
 		t: t, fake: fake, store: configuration.NewWithLog(fake, 6),
 		instances: map[string]*instance{}, random: rand.New(rand.NewPCG(seed, 1)),
@@ -93,7 +93,7 @@
 	n.version, n.told = 0, 0
 	n.floor = c.zoneVersion(n)
 	n.head = 0
-	if c.fault == platform.NoFault && !n.cut {
+	if c.fault == store.NoFault && !n.cut {
 		u, err := c.store.Since(context.Background(), 1<<60)
 		qt.Assert(c.t, err, qt.IsNil)
 		n.head = u.Version
@@ -107,7 +107,7 @@
 }
 
 // setFault sets the fault of every request; what a start must reach is no longer known.
-func (c *cluster) setFault(f platform.Fault) {
+func (c *cluster) setFault(f store.Fault) {
 	c.fault = f
 	for _, n := range c.instances {
 		n.head = 0
@@ -205,7 +205,7 @@
 	if n.cut {
 		return event(configuration.Polled{Err: configuration.Unavailable.New("cut")})
 	}
-	c.fake.Inject(func(context.Context, platform.OperationKind) platform.Fault { return c.fault })
+	c.fake.Inject(func(context.Context, store.OperationKind) store.Fault { return c.fault })
 	defer c.fake.Inject(nil)
 	u, err := c.store.Since(context.Background(), n.replica.Version())
 	return func() configuration.PollEvent {
@@ -331,7 +331,7 @@
 				}
 				return result
 			case "platform":
-				c.setFault(map[string]platform.Fault{"up": platform.NoFault, "down": platform.Down, "stale": platform.StaleRead}[d.CmdArgs[0].Key])
+				c.setFault(map[string]store.Fault{"up": store.NoFault, "down": store.Down, "stale": store.StaleRead}[d.CmdArgs[0].Key])
 			case "slow":
 				c.pollDelay = 500 * time.Millisecond
 			case "freeze":
@@ -369,13 +369,13 @@
 				c.commit(t, fmt.Sprint("c-", revision), revision)
 				revision++
 			case 2:
-				c.setFault(platform.Down)
+				c.setFault(store.Down)
 			case 3:
-				c.setFault(platform.StaleRead)
+				c.setFault(store.StaleRead)
 			case 8:
 				c.fake.Freeze()
 			case 4:
-				c.setFault(platform.NoFault)
+				c.setFault(store.NoFault)
 			case 5, 6:
 				c.cut("a", c.random.IntN(2) == 0)
 			case 7:
@@ -386,7 +386,7 @@
 			}
 		}
 		c.cut("a", false)
-		c.setFault(platform.NoFault)
+		c.setFault(store.NoFault)
 		c.advance(9 * time.Second)
 		for _, n := range c.instances {
 			qt.Assert(t, n.replica.Version(), qt.Equals, configuration.Version(revision)+1, qt.Commentf("seed %d, %s", seed, n.name))
--- a/configuration/read.go
+++ b/configuration/read.go
@@ -4,11 +4,11 @@
 	"context"
 	"slices"
 
-	"github.com/sapphiretack/sapphiretack/platform"
+	"github.com/sapphiretack/sapphiretack/store"
 )
 
 const (
-	// logPage is the number of rows in one scan. A page of large documents ends earlier, at platform.MaxPageBytes.
+	// logPage is the number of rows in one scan. A page of large documents ends earlier, at store.MaxPageBytes.
 	logPage = 64
 	// maxLogRead is the number of changes after which a reader takes a snapshot instead.
 	maxLogRead = 1024
@@ -18,7 +18,7 @@
 
 // Show returns an object; the error is of class NotFound if it does not exist or is withdrawn.
 func (s *Store) Show(ctx context.Context, k Kind, name string) (Object, error) {
-	rows, err := s.table.Read(ctx, []platform.Key{objectRowKey(k, name)})
+	rows, err := s.table.Read(ctx, []store.Key{objectRowKey(k, name)})
 	if err != nil {
 		return Object{}, Unavailable.Wrap(err)
 	}
@@ -53,7 +53,7 @@
 
 func (s *Store) head(ctx context.Context) (headRow, error) {
 	var head headRow
-	rows, err := s.table.Read(ctx, []platform.Key{headKey})
+	rows, err := s.table.Read(ctx, []store.Key{headKey})
 	if err != nil {
 		return head, Unavailable.Wrap(err)
 	}
@@ -116,9 +116,9 @@
 
 func (s *Store) scanObjects(ctx context.Context) ([]Object, error) {
 	var objects []Object
-	var after platform.Key
+	var after store.Key
 	for {
-		rows, err := s.table.Scan(ctx, objectPrefix, after, platform.MaxRows)
+		rows, err := s.table.Scan(ctx, objectPrefix, after, store.MaxRows)
 		if err != nil {
 			return nil, Unavailable.Wrap(err)
 		}
--- a/configuration/replica_test.go
+++ b/configuration/replica_test.go
@@ -11,14 +11,14 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sapphiretack/sapphiretack/configuration"
-	"github.com/sapphiretack/sapphiretack/platform"
+	"github.com/sapphiretack/sapphiretack/store"
 	"github.com/sapphiretack/sapphiretack/template"
 )
 
 // Guards against a change that breaks a reference, a fault told without its remedy, an identifier used for two changes, and
 // a replica that differs from the store.
 func TestStore(t *testing.T) {
-	s := configuration.NewWithLog(platform.NewFake(), 100)
+	s := configuration.NewWithLog(store.NewFake(), 100)
 	replica := configuration.NewReplica()
 	ctx := context.Background()
 	datadriven.RunTest(t, "testdata/store", func(t *testing.T, d *datadriven.TestData) string {
@@ -102,7 +102,7 @@
 
 // Guards against a peer that misses a change because the list of recent changes was cut.
 func TestSinceBeyondRecent(t *testing.T) {
-	fake := platform.NewFake()
+	fake := store.NewFake()
 	s := configuration.NewWithLog(fake, 5000)
 	publishTemplate(t, s)
 	ahead, behind := configuration.NewReplica(), configuration.NewReplica()
@@ -136,8 +136,8 @@
 	for at := 1; at <= 12; at++ {
 		for since := range configuration.Version(2) {
 			for changes := 1; changes <= 4; changes++ {
-				checkReadDuringChanges(t, at, since, changes, platform.NoFault)
-				checkReadDuringChanges(t, at, since, changes, platform.StaleRead)
+				checkReadDuringChanges(t, at, since, changes, store.NoFault)
+				checkReadDuringChanges(t, at, since, changes, store.StaleRead)
 			}
 		}
 	}
@@ -145,7 +145,7 @@
 
 // checkReadDuringChanges reads from a version while other changes are committed before the given step; from there on the
 // reads have the fault.
-func checkReadDuringChanges(t *testing.T, at int, since configuration.Version, changes int, fault platform.Fault) {
+func checkReadDuringChanges(t *testing.T, at int, since configuration.Version, changes int, fault store.Fault) {
 	fake, s := newTable(t)
 	ctx := context.Background()
 	replica := configuration.NewReplica()
@@ -156,9 +156,9 @@
 		qt.Assert(t, replica.Version(), qt.Equals, since)
 	}
 	steps, changing := 0, false
-	fake.Inject(func(context.Context, platform.OperationKind) platform.Fault {
+	fake.Inject(func(context.Context, store.OperationKind) store.Fault {
 		if changing {
-			return platform.NoFault
+			return store.NoFault
 		}
 		steps++
 		if steps == at {
@@ -173,7 +173,7 @@
 		if steps >= at {
 			return fault
 		}
-		return platform.NoFault
+		return store.NoFault
 	})
 	u, err := s.Since(ctx, since)
 	if err != nil {
@@ -187,20 +187,20 @@
 }
 
 // staleTable reads the state that the fake keeps for stale reads.
-type staleTable struct{ *platform.Fake }
+type staleTable struct{ *store.Fake }
 
-func (s staleTable) Read(ctx context.Context, keys []platform.Key) ([]platform.Row, error) {
+func (s staleTable) Read(ctx context.Context, keys []store.Key) ([]store.Row, error) {
 	defer s.stale()()
 	return s.Fake.Read(ctx, keys)
 }
 
-func (s staleTable) Scan(ctx context.Context, prefix, after platform.Key, limit int) ([]platform.Row, error) {
+func (s staleTable) Scan(ctx context.Context, prefix, after store.Key, limit int) ([]store.Row, error) {
 	defer s.stale()()
 	return s.Fake.Scan(ctx, prefix, after, limit)
 }
 
 func (s staleTable) stale() (end func()) {
-	s.Inject(func(context.Context, platform.OperationKind) platform.Fault { return platform.StaleRead })
+	s.Inject(func(context.Context, store.OperationKind) store.Fault { return store.StaleRead })
 	return func() { s.Inject(nil) }
 }
 
--- a/configuration/row.go
+++ b/configuration/row.go
@@ -4,13 +4,13 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/sapphiretack/sapphiretack/platform"
+	"github.com/sapphiretack/sapphiretack/store"
 )
 
 // The keys of the rows. All begin with rowPrefix.
 const (
 	rowPrefix    = "configuration/"
-	headKey      = platform.Key(rowPrefix + "head")
+	headKey      = store.Key(rowPrefix + "head")
 	objectPrefix = rowPrefix + "object/"
 	changePrefix = rowPrefix + "change/"
 	logPrefix    = rowPrefix + "log/"
@@ -20,18 +20,18 @@
 // DefaultLogLength is the number of changes that stay in the log and whose identifiers are known: one day's worth at full size.
 const DefaultLogLength = 12_000
 
-func objectRowKey(k Kind, name string) platform.Key {
-	return platform.Key(objectPrefix + k.String() + "/" + name)
+func objectRowKey(k Kind, name string) store.Key {
+	return store.Key(objectPrefix + k.String() + "/" + name)
 }
 
-func changeKey(id ChangeID) platform.Key { return platform.Key(changePrefix + string(id)) }
+func changeKey(id ChangeID) store.Key { return store.Key(changePrefix + string(id)) }
 
 // logKey writes the version with a fixed number of digits, so that key order is version order.
-func logKey(v Version) platform.Key {
-	return platform.Key(fmt.Sprintf("%s%016x", logPrefix, uint64(v)))
+func logKey(v Version) store.Key {
+	return store.Key(fmt.Sprintf("%s%016x", logPrefix, uint64(v)))
 }
 
-func usesKey(name string) platform.Key { return platform.Key(usesPrefix + name) }
+func usesKey(name string) store.Key { return store.Key(usesPrefix + name) }
 
 // headRow is the value of the head row.
 type headRow struct {
@@ -57,7 +57,7 @@
 }
 
 // decode reads a row; a missing row leaves v as it is.
-func decode(row platform.Row, v any) error {
+func decode(row store.Row, v any) error {
 	if row.Revision == 0 {
 		return nil
 	}
@@ -67,10 +67,10 @@
 	return nil
 }
 
-func encode(key platform.Key, v any) platform.Write {
+func encode(key store.Key, v any) store.Write {
 	data, err := json.Marshal(v)
 	if err != nil {
 		panic(err) // the row types always marshal
 	}
-	return platform.Write{Key: key, Value: data}
+	return store.Write{Key: key, Value: data}
 }
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -6,7 +6,7 @@
 
 	"github.com/zeebo/errs"
 
-	"github.com/sapphiretack/sapphiretack/platform"
+	"github.com/sapphiretack/sapphiretack/store"
 	"github.com/sapphiretack/sapphiretack/template"
 )
 
@@ -15,15 +15,15 @@
 
 // Store reads and changes the configuration in the platform's table. It is safe for concurrent use.
 type Store struct {
-	table platform.Table
+	table store.Table
 	log   Version // length of the log
 }
 
 // New returns a Store on the table with a log of DefaultLogLength.
-func New(table platform.Table) *Store { return NewWithLog(table, DefaultLogLength) }
+func New(table store.Table) *Store { return NewWithLog(table, DefaultLogLength) }
 
 // NewWithLog returns a Store that keeps the given number of changes in the log. All stores of a table must use the same number.
-func NewWithLog(table platform.Table, length int) *Store {
+func NewWithLog(table store.Table, length int) *Store {
 	return &Store{table: table, log: Version(length)}
 }
 
@@ -48,9 +48,9 @@
 			return Object{}, p.refusal
 		case err == nil:
 			return p.object, nil
-		case platform.ConditionFailed.Has(err):
+		case store.ConditionFailed.Has(err):
 			continue
-		case platform.Indeterminate.Has(err):
+		case store.Indeterminate.Has(err):
 			unsure = unsure || p.refusal == nil // a proof writes nothing
 			continue
 		case !unsure:
@@ -69,28 +69,28 @@
 	done       bool   // the change was applied earlier; object is its result
 	object     Object // after the change
 	refusal    error  // why the change cannot be made in the state as read
-	conditions []platform.Condition
-	writes     []platform.Write
+	conditions []store.Condition
+	writes     []store.Write
 }
 
 // transaction returns the transaction of the plan. A refusal is based on reads that may be out of date, so its transaction
 // has no writes and proves that the rows were current.
-func (p *plan) transaction() platform.Transaction {
+func (p *plan) transaction() store.Transaction {
 	if p.refusal != nil {
-		return platform.Transaction{Conditions: p.conditions}
+		return store.Transaction{Conditions: p.conditions}
 	}
-	return platform.Transaction{Conditions: p.conditions, Writes: p.writes}
+	return store.Transaction{Conditions: p.conditions, Writes: p.writes}
 }
 
-func (p *plan) require(rows ...platform.Row) {
+func (p *plan) require(rows ...store.Row) {
 	for _, r := range rows {
-		p.conditions = append(p.conditions, platform.Condition{Key: r.Key, Revision: r.Revision})
+		p.conditions = append(p.conditions, store.Condition{Key: r.Key, Revision: r.Revision})
 	}
 }
 
 // prepare reads the rows that the change depends on and plans the transaction.
 func (s *Store) prepare(ctx context.Context, c *Change) (plan, error) {
-	rows, err := s.table.Read(ctx, []platform.Key{headKey, objectRowKey(c.Kind, c.Name), changeKey(c.ID)})
+	rows, err := s.table.Read(ctx, []store.Key{headKey, objectRowKey(c.Kind, c.Name), changeKey(c.ID)})
 	if err != nil {
 		return plan{}, err
 	}
@@ -179,7 +179,7 @@
 }
 
 func (s *Store) checkUnused(ctx context.Context, p *plan) error {
-	rows, err := s.table.Read(ctx, []platform.Key{usesKey(p.object.Name)})
+	rows, err := s.table.Read(ctx, []store.Key{usesKey(p.object.Name)})
 	if err != nil {
 		return err
 	}
@@ -196,7 +196,7 @@
 }
 
 func (s *Store) checkTemplate(ctx context.Context, p *plan, c *template.Customer) error {
-	rows, err := s.table.Read(ctx, []platform.Key{objectRowKey(Template, c.Template)})
+	rows, err := s.table.Read(ctx, []store.Key{objectRowKey(Template, c.Template)})
 	if err != nil {
 		return err
 	}
@@ -222,7 +222,7 @@
 	if name == "" {
 		return nil
 	}
-	rows, err := s.table.Read(ctx, []platform.Key{usesKey(name)})
+	rows, err := s.table.Read(ctx, []store.Key{usesKey(name)})
 	if err != nil {
 		return err
 	}
@@ -241,7 +241,7 @@
 	if p.object.Version <= s.log {
 		return nil
 	}
-	rows, err := s.table.Read(ctx, []platform.Key{logKey(p.object.Version - s.log)})
+	rows, err := s.table.Read(ctx, []store.Key{logKey(p.object.Version - s.log)})
 	if err != nil {
 		return err
 	}
@@ -252,8 +252,8 @@
 	if rows[0].Revision != 0 {
 		p.require(rows...)
 		p.writes = append(p.writes,
-			platform.Write{Key: rows[0].Key, Delete: true},
-			platform.Write{Key: changeKey(oldest.Change), Delete: true})
+			store.Write{Key: rows[0].Key, Delete: true},
+			store.Write{Key: changeKey(oldest.Change), Delete: true})
 	}
 	return nil
 }
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -11,8 +11,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/sapphiretack/sapphiretack/configuration"
-	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/standin"
+	"github.com/sapphiretack/sapphiretack/store"
 	"github.com/sapphiretack/sapphiretack/template"
 )
 
@@ -37,8 +37,8 @@
 
 // newTable returns a platform with a template and a customer at revision 1, whose stale state is from before the customer.
 // The log holds two changes, so that each further change also trims it.
-func newTable(t testing.TB) (*platform.Fake, *configuration.Store) {
-	fake := platform.NewFake()
+func newTable(t testing.TB) (*store.Fake, *configuration.Store) {
+	fake := store.NewFake()
 	s := configuration.NewWithLog(fake, 2)
 	publishTemplate(t, s)
 	fake.Freeze()
@@ -48,10 +48,10 @@
 }
 
 // script injects faults by the number of the request.
-type script map[int]platform.Fault
+type script map[int]store.Fault
 
-func (s script) inject(fake *platform.Fake, steps *int) {
-	fake.Inject(func(context.Context, platform.OperationKind) platform.Fault {
+func (s script) inject(fake *store.Fake, steps *int) {
+	fake.Inject(func(context.Context, store.OperationKind) store.Fault {
 		*steps++
 		return s[*steps]
 	})
@@ -95,7 +95,7 @@
 
 // Guards against a change that is applied twice, told wrongly or lost, with one or two faults at every step of its commit.
 func TestCommitFaults(t *testing.T) {
-	faults := []platform.Fault{platform.Down, platform.LostRequest, platform.LostResponse, platform.StaleRead, platform.Delayed}
+	faults := []store.Fault{store.Down, store.LostRequest, store.LostResponse, store.StaleRead, store.Delayed}
 	const steps = 10 // a commit takes 4 reads and a transaction; a second try takes as many
 	for first := 1; first <= steps; first++ {
 		for _, f := range faults {
@@ -111,7 +111,7 @@
 
 // Guards against a false report when a fault lasts: every request down, lost, stale or delayed.
 func TestCommitLastingFault(t *testing.T) {
-	for _, f := range []platform.Fault{platform.Down, platform.LostRequest, platform.LostResponse, platform.StaleRead, platform.Delayed} {
+	for _, f := range []store.Fault{store.Down, store.LostRequest, store.LostResponse, store.StaleRead, store.Delayed} {
 		for first := 1; first <= 8; first++ {
 			faults := script{}
 			for step := first; step < 100; step++ {
@@ -126,21 +126,21 @@
 // each step of the first one's, with and without the loss of the first one's response.
 func TestTwoOperators(t *testing.T) {
 	for at := 1; at <= 12; at++ {
-		for _, fault := range []platform.Fault{platform.NoFault, platform.LostResponse, platform.Delayed} {
+		for _, fault := range []store.Fault{store.NoFault, store.LostResponse, store.Delayed} {
 			fake, s := newTable(t)
 			ctx := context.Background()
 			var second error
 			steps := 0
-			fake.Inject(func(ctx context.Context, k platform.OperationKind) platform.Fault {
+			fake.Inject(func(ctx context.Context, k store.OperationKind) store.Fault {
 				steps++
 				if steps == at {
 					fake.Deliver()
 					_, second = s.Commit(ctx, customerChange("c-3", 1, 30))
 				}
-				if k == platform.CommitOperation && steps < at {
+				if k == store.CommitOperation && steps < at {
 					return fault
 				}
-				return platform.NoFault
+				return store.NoFault
 			})
 			_, first := s.Commit(ctx, customerChange("c-2", 1, 20))
 			fake.Inject(nil)
@@ -165,7 +165,7 @@
 func TestLargestDocuments(t *testing.T) {
 	server := httptest.NewServer(standin.NewPlatform().Handler())
 	defer server.Close()
-	client, err := platform.NewClient(platform.Settings{URL: server.URL})
+	client, err := store.NewClient(store.Settings{URL: server.URL})
 	qt.Assert(t, err, qt.IsNil)
 	s := configuration.New(client)
 	document := append([]byte(templateDocument), bytes.Repeat([]byte(" "), template.MaxDocumentBytes-len(templateDocument))...)
--- a/faultmatrix/claims.go
+++ b/faultmatrix/claims.go
@@ -4,9 +4,9 @@
 	"context"
 
 	"github.com/sapphiretack/sapphiretack/call"
-	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/session"
+	"github.com/sapphiretack/sapphiretack/store"
 )
 
 // claim is a send with an idempotency key that waits for its claim.
@@ -44,7 +44,7 @@
 			n.claimEvent(session.ClaimCommitted{Batch: a.Batch, Err: err})
 		})
 	case session.ReadClaims:
-		var rows []platform.Row
+		var rows []store.Row
 		var err error
 		n.askPlatform(func(ctx context.Context) { rows, err = w.provider.fake.Read(ctx, a.Keys) }, func() {
 			n.claimEvent(session.ClaimRead{Batch: a.Batch, Rows: rows, Err: err})
--- a/faultmatrix/platform.go
+++ b/faultmatrix/platform.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/store"
 )
 
 // platformDelay is the time for one direction between a node and the platform.
@@ -16,9 +16,9 @@
 
 // provider is the platform with the zone that it is asked from.
 type provider struct {
-	fake  *platform.Fake
+	fake  *store.Fake
 	cut   map[request.ZoneID]bool
-	fault platform.Fault
+	fault store.Fault
 	slow  bool
 	// asking is the zone of the request at hand.
 	asking request.ZoneID
@@ -27,22 +27,22 @@
 }
 
 func newProvider() *provider {
-	p := &provider{fake: platform.NewFake(), cut: make(map[request.ZoneID]bool)}
+	p := &provider{fake: store.NewFake(), cut: make(map[request.ZoneID]bool)}
 	p.fake.Inject(p.decide)
 	return p
 }
 
 // decide is the fault of one request. A request from a cut zone never arrives.
-func (p *provider) decide(_ context.Context, k platform.OperationKind) platform.Fault {
+func (p *provider) decide(_ context.Context, k store.OperationKind) store.Fault {
 	switch {
 	case p.cut[p.asking]:
-		return platform.LostRequest
-	case p.fault == platform.LostResponse && k != platform.CommitOperation:
-		return platform.NoFault
-	case p.fault == platform.LostResponse:
+		return store.LostRequest
+	case p.fault == store.LostResponse && k != store.CommitOperation:
+		return store.NoFault
+	case p.fault == store.LostResponse:
 		p.lost++
 		if p.lost > 1 {
-			return platform.NoFault
+			return store.NoFault
 		}
 	}
 	return p.fault
@@ -69,20 +69,20 @@
 	case ZoneCutFromPlatform, ZoneCutFromBoth:
 		p.cut[at.zone] = true
 	case PlatformDown:
-		p.fault = platform.Down
+		p.fault = store.Down
 	case PlatformSlow:
 		p.slow = true
 	case PlatformAnswerLost:
 		p.lost = 0
-		p.fault = platform.LostResponse
+		p.fault = store.LostResponse
 	case PlatformStale:
 		p.fake.Freeze()
-		p.fault = platform.StaleRead
+		p.fault = store.StaleRead
 	default:
 		return
 	}
 	w.after(faultTime, func() {
-		p.fault, p.slow = platform.NoFault, false
+		p.fault, p.slow = store.NoFault, false
 		delete(p.cut, at.zone)
 	})
 }
--- a/faultmatrix/world.go
+++ b/faultmatrix/world.go
@@ -11,11 +11,11 @@
 	"github.com/sapphiretack/sapphiretack/call"
 	"github.com/sapphiretack/sapphiretack/configuration"
 	"github.com/sapphiretack/sapphiretack/member"
-	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/quarantine"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/route"
 	"github.com/sapphiretack/sapphiretack/session"
+	"github.com/sapphiretack/sapphiretack/store"
 )
 
 // Options choose a run; Load of zero means no background requests. Weakened switches one mechanism off in the fake shell, to show that the check of its property can fail.
@@ -195,7 +195,7 @@
 	w := n.world
 	var rows []member.Member
 	n.askPlatform(func(context.Context) {
-		if w.provider.cut[n.zone] || w.provider.fault == platform.Down {
+		if w.provider.cut[n.zone] || w.provider.fault == store.Down {
 			return
 		}
 		for _, other := range w.nodes {
--- /dev/null
+++ b/ingress/server_test.go
@@ -0,0 +1,233 @@
+package ingress_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphiretack/sapphiretack/ingress"
+)
+
+// handlerFunc implements ingress.Handler.
+type handlerFunc func(ctx context.Context, r *http.Request) *ingress.Response
+
+func (f handlerFunc) Handle(ctx context.Context, r *http.Request) *ingress.Response { return f(ctx, r) }
+
+// serve starts a server and returns a connection to it.
+func serve(c *qt.C, h handlerFunc) (*ingress.Server, net.Conn) {
+	s := ingress.New(ingress.Settings{
+		Handler: h, Log: zerolog.Nop(),
+		Limits: func() ingress.Limits {
+			return ingress.Limits{HeaderBytes: 2048, BodyBytes: 1 << 20, HeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second}
+		},
+	})
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	var group errgroup.Group
+	group.Go(func() error { return s.Serve(l) })
+	conn, err := net.Dial("tcp4", l.Addr().String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		_ = conn.Close()
+		s.Close()
+		c.Check(group.Wait(), qt.IsNil)
+	})
+	return s, conn
+}
+
+func text(s string) *ingress.Response { return ingress.NewResponse(http.StatusOK, nil, s) }
+
+func readBody(c *qt.C, r *bufio.Reader) string {
+	response, err := http.ReadResponse(r, nil)
+	c.Assert(err, qt.IsNil)
+	data, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	return string(data)
+}
+
+// parts is a body that arrives in several reads.
+type parts struct{ left [][]byte }
+
+func (p *parts) Read(out []byte) (int, error) {
+	if len(p.left) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(out, p.left[0])
+	if p.left[0] = p.left[0][n:]; len(p.left[0]) == 0 {
+		p.left = p.left[1:]
+	}
+	return n, nil
+}
+
+func (p *parts) Close() error { return nil }
+
+// TestLongBody guards against bytes that change on the way while a body is flushed part by part.
+func TestLongBody(t *testing.T) {
+	for _, length := range []int64{-1, 40_000} {
+		t.Run(fmt.Sprint(length), func(t *testing.T) {
+			c := qt.New(t)
+			want := bytes.Repeat([]byte("0123456789abcdef"), 2500)
+			_, conn := serve(c, func(context.Context, *http.Request) *ingress.Response {
+				return &ingress.Response{Status: http.StatusOK, Header: http.Header{}, Length: length, Body: &parts{left: [][]byte{
+					bytes.Clone(want[:100]), bytes.Clone(want[100:5000]), bytes.Clone(want[5000:]),
+				}}}
+			})
+			fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			c.Check(readBody(c, bufio.NewReader(conn)) == string(want), qt.IsTrue)
+		})
+	}
+}
+
+// TestPipelining guards against a slow request that delays the run of those behind it, and against responses out of order.
+func TestPipelining(t *testing.T) {
+	c := qt.New(t)
+	second := make(chan struct{})
+	_, conn := serve(c, func(_ context.Context, r *http.Request) *ingress.Response {
+		if r.URL.Path == "/1" {
+			<-second // the first request ends after the second one has run
+			return text("first")
+		}
+		close(second)
+		return text("second")
+	})
+	fmt.Fprint(conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	r := bufio.NewReader(conn)
+	c.Check(readBody(c, r), qt.Equals, "first")
+	c.Check(readBody(c, r), qt.Equals, "second")
+}
+
+// TestUnsafeWaits guards against a request that may not be repeated and runs before the answer to the one before it.
+func TestUnsafeWaits(t *testing.T) {
+	c := qt.New(t)
+	isAnswered := make(chan struct{})
+	_, conn := serve(c, func(_ context.Context, r *http.Request) *ingress.Response {
+		if r.Method == http.MethodPost {
+			select {
+			case <-isAnswered:
+			default:
+				return text("too early")
+			}
+			data, _ := io.ReadAll(r.Body)
+			return text(string(data))
+		}
+		response := text("get")
+		response.Finish = func(error) { close(isAnswered) }
+		return response
+	})
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody")
+	r := bufio.NewReader(conn)
+	c.Check(readBody(c, r), qt.Equals, "get")
+	c.Check(readBody(c, r), qt.Equals, "body")
+}
+
+// TestClientGone guards against work that goes on after the client has closed its connection.
+func TestClientGone(t *testing.T) {
+	c := qt.New(t)
+	cancelled := make(chan struct{})
+	began := make(chan struct{})
+	_, conn := serve(c, func(ctx context.Context, _ *http.Request) *ingress.Response {
+		close(began)
+		<-ctx.Done()
+		close(cancelled)
+		return nil
+	})
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-began
+	c.Assert(conn.Close(), qt.IsNil)
+	<-cancelled
+}
+
+// TestDrain guards against a connection that closes while responses are owed to requests behind the present one.
+func TestDrain(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	began := make(chan struct{}, 2)
+	s, conn := serve(c, func(context.Context, *http.Request) *ingress.Response {
+		began <- struct{}{}
+		<-release
+		return text("ok")
+	})
+	fmt.Fprint(conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-began
+	<-began
+	s.Drain()
+	close(release)
+	r := bufio.NewReader(conn)
+	first, err := http.ReadResponse(r, nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(first.Close, qt.IsFalse)
+	_, _ = io.Copy(io.Discard, first.Body)
+	second, err := http.ReadResponse(r, nil)
+	c.Assert(err, qt.IsNil)
+	c.Check(second.Close, qt.IsTrue)
+}
+
+// TestBrokenBody guards against a truncated response that looks whole.
+func TestBrokenBody(t *testing.T) {
+	c := qt.New(t)
+	_, conn := serve(c, func(context.Context, *http.Request) *ingress.Response {
+		body := io.NopCloser(io.MultiReader(strings.NewReader("part"), &failing{}))
+		return &ingress.Response{Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: body}
+	})
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		_, err = io.ReadAll(response.Body)
+	}
+	c.Check(err, qt.IsNotNil)
+}
+
+type failing struct{}
+
+func (*failing) Read([]byte) (int, error) { return 0, errors.New("the connection was reset") }
+
+// TestRefusals guards against malformed requests that get no answer, or one that names another fault.
+func TestRefusals(t *testing.T) {
+	for _, test := range []struct {
+		name, request string
+		status        int
+	}{
+		{"malformed", "GET / HTTP/1.1\r\nbad header\r\n\r\n", http.StatusBadRequest},
+		{"header too large", "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 8000) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		{"body too large", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2000000\r\n\r\n", http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			_, conn := serve(c, func(context.Context, *http.Request) *ingress.Response { return text("not reached") })
+			fmt.Fprint(conn, test.request)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			c.Assert(err, qt.IsNil)
+			c.Check(response.StatusCode, qt.Equals, test.status)
+		})
+	}
+}
+
+// TestContinue guards against a client that waits for leave to send its body.
+func TestContinue(t *testing.T) {
+	c := qt.New(t)
+	_, conn := serve(c, func(_ context.Context, r *http.Request) *ingress.Response {
+		data, err := io.ReadAll(r.Body)
+		c.Check(err, qt.IsNil)
+		return text(string(data))
+	})
+	fmt.Fprint(conn, "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	r := bufio.NewReader(conn)
+	line, err := r.ReadString('\n')
+	c.Assert(err, qt.IsNil)
+	c.Check(line, qt.Equals, "HTTP/1.1 100 Continue\r\n")
+	_, _ = r.ReadString('\n')
+	fmt.Fprint(conn, "ok")
+	c.Check(readBody(c, r), qt.Equals, "ok")
+}
--- /dev/null
+++ b/mesh/log.go
@@ -0,0 +1,68 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/sapphiretack/sapphiretack/placement"
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+// describe adds the fields that all lines of one request have in common.
+func (n *Node) describe(e *zerolog.Event, j *journey) *zerolog.Event {
+	e = e.Str("request_id", j.id)
+	if j.route == nil {
+		return e
+	}
+	return e.Str("route", j.route.Name).Str("to", string(j.service)).Uint8("rank", uint8(j.rank)).Bool("call", j.isCall).
+		Dur("elapsed", n.now().Sub(j.arrived)).Dur("left", j.deadline.Sub(n.now())).
+		Int64("config_version", int64(n.configuration.Version()))
+}
+
+// logAnswer writes a line for a served request; these are the first that a full log leaves out.
+func (n *Node) logAnswer(j *journey, t placement.Target, status int) {
+	e := n.log.Debug()
+	if status >= 500 || j.refusals+j.arrivals > 0 {
+		e = n.log.Info()
+	}
+	if e == nil {
+		return
+	}
+	n.describe(e.Str("event", "answered"), j).Int("status", status).Str("instance", t.Address.String()).
+		Int("refusals", j.refusals).Int("arrivals", j.arrivals).Msg("the backend server answered")
+}
+
+func (n *Node) logAttempt(j *journey, t placement.Target, result, why string, began request.Instant) {
+	n.describe(n.log.Info().Str("event", "attempt"), j).Str("result", result).Str("why", why).Str("instance", t.Address.String()).
+		Str("instance_id", string(t.Instance)).Dur("took", n.now().Sub(began)).Msg("an attempt did not succeed")
+}
+
+func (n *Node) logEnd(j *journey, why string, status int, err error) {
+	n.describe(n.log.Info().Str("event", "ended"), j).Str("why", why).Int("status", status).AnErr("cause", err).
+		Int("refusals", j.refusals).Int("arrivals", j.arrivals).Msg("the request ended without an answer")
+}
+
+func (n *Node) logRefusal(j *journey, why string, after time.Duration) {
+	e := n.describe(n.log.Info().Str("event", "refused"), j).Str("why", why).Dur("retry_after", after).Bool("return", j.isReturn)
+	if j.route != nil {
+		n.planMu.Lock()
+		fraction, age := n.planner.Fraction(j.route.ID), n.planner.Age(n.now())
+		n.planMu.Unlock()
+		e = e.Float64("fraction", fraction).Dur("plan_age", age)
+	}
+	e.Int("refusals", j.refusals).Msg("the request has not run and was refused")
+}
+
+// logGate writes a line for an attempt that the gate or the backend server did not answer.
+func (n *Node) logGate(a attempt, o outcome, took time.Duration) {
+	e := n.log.Info().Str("event", "gate").Str("request_id", a.id).Uint8("rank", uint8(a.rank)).Bool("call", a.isCall).Dur("took", took)
+	switch o := o.(type) {
+	case notRun:
+		e.Str("result", "not_run").Str("why", o.reason.String()).Dur("wait", o.wait).Bool("arrived", o.hasArrived).Msg("the attempt did not run")
+	case broken:
+		e.Str("result", "broken").AnErr("cause", o.err).Msg("the attempt may have run")
+	default:
+		e.Discard().Send()
+	}
+}
--- /dev/null
+++ b/mesh/metrics.go
@@ -0,0 +1,73 @@
+package mesh
+
+import (
+	"strconv"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/sapphiretack/sapphiretack/fleet"
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+// metrics are the counters and histograms of a node.
+type metrics struct {
+	registry                              gometrics.Registry
+	peerFailures, probes, retries         gometrics.Counter
+	retriesDenied, gossipErrors           gometrics.Counter
+	gossipSent                            gometrics.Counter
+	queueTime                             gometrics.Timer
+	running, limit, load, version, health gometrics.Gauge
+	fresh                                 gometrics.Gauge
+}
+
+func newMetrics() *metrics {
+	r := gometrics.NewRegistry()
+	counter := func(name string) gometrics.Counter { return gometrics.GetOrRegisterCounter(name, r) }
+	gauge := func(name string) gometrics.Gauge { return gometrics.GetOrRegisterGauge(name, r) }
+	return &metrics{
+		registry:     r,
+		peerFailures: counter("peer_failures"), probes: counter("probes"), retries: counter("retries"),
+		retriesDenied: counter("retries_denied"), gossipErrors: counter("gossip_errors"), gossipSent: counter("gossip_sent_bytes"),
+		queueTime: gometrics.GetOrRegisterTimer("gate_queue_time", r),
+		running:   gauge("gate_active"), limit: gauge("gate_limit"), load: gauge("gate_load_thousandths"),
+		version: gauge("config_version"), health: gauge("backend_health"), fresh: gauge("nodes_fresh"),
+	}
+}
+
+// gate counts how an attempt ended at the gate.
+func (m *metrics) gate(o outcome) {
+	name := "gate_answered"
+	switch o := o.(type) {
+	case notRun:
+		name = "gate_not_run_" + o.reason.String()
+	case broken:
+		name = "gate_broken"
+	}
+	gometrics.GetOrRegisterCounter(name, m.registry).Inc(1)
+}
+
+// end counts how a request ended.
+func (m *metrics) end(j *journey, status int, now request.Instant) {
+	route := "unknown"
+	if j.route != nil {
+		route = j.route.Name
+	}
+	prefix := "requests." + route + "." + string(j.service) + "." + strconv.Itoa(int(j.rank)) + "."
+	gometrics.GetOrRegisterCounter(prefix+strconv.Itoa(status), m.registry).Inc(1)
+	gometrics.GetOrRegisterTimer(prefix+"time", m.registry).Update(now.Sub(j.arrived))
+}
+
+func (m *metrics) gauge(e fleet.Entry, load float64, instances []fleet.Instance) {
+	fresh := 0
+	for _, i := range instances {
+		if i.IsFresh {
+			fresh++
+		}
+	}
+	m.limit.Update(int64(e.Limit))
+	m.running.Update(int64(load * float64(e.Limit)))
+	m.load.Update(int64(1000 * load))
+	m.version.Update(int64(e.Configuration))
+	m.health.Update(int64(e.Health))
+	m.fresh.Update(int64(fresh))
+}
--- a/node/claims.go
+++ b/node/claims.go
@@ -4,15 +4,15 @@
 	"context"
 	"sync"
 
-	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/session"
+	"github.com/sapphiretack/sapphiretack/store"
 )
 
 // claims drives the claims of idempotency keys: it carries out their transactions and wakes the sends that wait.
 type claims struct {
 	node  *Node
-	table platform.Table
+	table store.Table
 
 	mu       sync.Mutex
 	machine  *session.Claims
--- a/node/configure.go
+++ b/node/configure.go
@@ -9,8 +9,8 @@
 	"github.com/sapphiretack/sapphiretack/configuration"
 	"github.com/sapphiretack/sapphiretack/member"
 	"github.com/sapphiretack/sapphiretack/peer"
-	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/store"
 )
 
 const (
@@ -71,13 +71,13 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	key := platform.Key(memberPrefix + string(self.Instance))
-	if err := n.table.Commit(ctx, platform.Transaction{Writes: []platform.Write{{Key: key, Value: value}}}); err != nil {
+	key := store.Key(memberPrefix + string(self.Instance))
+	if err := n.table.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: key, Value: value}}}); err != nil {
 		return err
 	}
 	var rows []member.Member
-	for after := platform.Key(""); ; {
-		page, err := n.table.Scan(ctx, memberPrefix, after, platform.MaxRows)
+	for after := store.Key(""); ; {
+		page, err := n.table.Scan(ctx, memberPrefix, after, store.MaxRows)
 		if err != nil {
 			return err
 		}
@@ -87,7 +87,7 @@
 			}
 			after = row.Key
 		}
-		if len(page) < platform.MaxRows {
+		if len(page) < store.MaxRows {
 			break
 		}
 	}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -23,9 +23,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/sapphiretack/sapphiretack/node"
-	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/settings"
+	"github.com/sapphiretack/sapphiretack/store"
 	"github.com/sapphiretack/sapphiretack/trace"
 )
 
@@ -35,7 +35,7 @@
 // fleet is a set of nodes in one process, each with a fake backend server, on loopback listeners.
 type fleet struct {
 	t         testing.TB
-	platform  *platform.Fake
+	platform  *store.Fake
 	instances map[string]*instance
 	group     errgroup.Group
 	tickets   map[string]string
@@ -109,7 +109,7 @@
 func newFleet(t testing.TB, c *certificates) *fleet {
 	f := &fleet{
 		t:         t,
-		platform:  platform.NewFake(),
+		platform:  store.NewFake(),
 		instances: map[string]*instance{},
 		tickets:   map[string]string{},
 		record:    record{counts: map[string]int{}},
--- a/node/node.go
+++ b/node/node.go
@@ -18,12 +18,12 @@
 	"github.com/sapphiretack/sapphiretack/budget"
 	"github.com/sapphiretack/sapphiretack/configuration"
 	"github.com/sapphiretack/sapphiretack/member"
-	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/quarantine"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/route"
 	"github.com/sapphiretack/sapphiretack/session"
 	"github.com/sapphiretack/sapphiretack/settings"
+	"github.com/sapphiretack/sapphiretack/store"
 	"github.com/sapphiretack/sapphiretack/template"
 	"github.com/sapphiretack/sapphiretack/trace"
 )
@@ -38,7 +38,7 @@
 type Dependencies struct {
 	Settings settings.Settings
 	Log      zerolog.Logger
-	Table    platform.Table
+	Table    store.Table
 	Spans    *trace.Provider
 	// Listen opens a listener; nil means net.Listen.
 	Listen func(network, address string) (net.Listener, error)
@@ -55,7 +55,7 @@
 	address     string // advertised peer address
 	listenOn    func(network, address string) (net.Listener, error)
 
-	table       platform.Table
+	table       store.Table
 	store       *configuration.Store
 	replica     *configuration.Replica
 	metrics     *nodeMetrics
--- /dev/null
+++ b/placement/planner.go
@@ -0,0 +1,359 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/sapphiretack/sapphiretack/fleet"
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/routing"
+	"github.com/sapphiretack/sapphiretack/tree"
+)
+
+// Settings are the thresholds of placement.
+type Settings struct {
+	// FilledShare of the slots is given to requests; queues grow without bound as the share nears 1.
+	FilledShare float64
+	// KeepLoad is the load of the tightest service up to which a tree stays in the own zone.
+	KeepLoad float64
+	// MoveGain turns the difference in load between two zones into the probability of moving.
+	MoveGain float64
+	// CallLoad is the load from which a call leaves the zone of its tree.
+	CallLoad float64
+	// FailingPercent is the share of failures from which an instance is avoided.
+	FailingPercent uint8
+	// ProbeShare of the requests goes to avoided instances, so that their recovery is noticed.
+	ProbeShare float64
+}
+
+// DefaultSettings returns the settings of the design.
+func DefaultSettings() Settings {
+	return Settings{
+		FilledShare: 0.97, KeepLoad: 0.7, MoveGain: 2, CallLoad: 1.6,
+		FailingPercent: 30, ProbeShare: 0.02,
+	}
+}
+
+// Target is the instance that an attempt is sent to.
+type Target struct {
+	Address  netip.Addr
+	Instance request.InstanceID
+	Zone     request.ZoneID
+	IsSelf   bool
+}
+
+// zoneLoad is the load of the instances of a service in one zone.
+type zoneLoad struct {
+	usable []int   // indices of instances
+	avoid  []int   // failing or broken ones
+	limit  float64 // slots of the usable ones
+	load   float64 // mean load over the usable ones
+}
+
+// Planner decides on admission and placement from the last Update; it is not safe for concurrent use.
+type Planner struct {
+	settings  Settings
+	zone      request.ZoneID
+	random    *rand.Rand
+	instances []fleet.Instance
+	zones     map[request.ServiceID]map[request.ZoneID]*zoneLoad
+	zoneNames []request.ZoneID
+	fractions map[routing.RouteID]float64
+	// sent counts attempts per instance since the last update, which the reported loads do not contain yet.
+	sent    []float64
+	updated request.Instant
+}
+
+// New returns a planner that knows no instance.
+func New(s Settings, zone request.ZoneID, random *rand.Rand) *Planner {
+	return &Planner{settings: s, zone: zone, random: random, zones: map[request.ServiceID]map[request.ZoneID]*zoneLoad{}}
+}
+
+// Update replaces what the decisions are based on; route returns the rank and cost of a route.
+func (p *Planner) Update(now request.Instant, instances []fleet.Instance, route func(routing.RouteID) (routing.Rank, tree.Cost, bool)) {
+	p.updated = now
+	p.instances = instances
+	p.sent = make([]float64, len(instances))
+	p.zones = map[request.ServiceID]map[request.ZoneID]*zoneLoad{}
+	p.zoneNames = p.zoneNames[:0]
+	slots := map[request.ServiceID]float64{}
+	rates := map[routing.RouteID]float64{}
+	seen := map[request.ZoneID]bool{}
+	for i, in := range instances {
+		if !in.IsFresh {
+			continue
+		}
+		for _, r := range in.Rates {
+			rates[r.Route] += float64(r.PerSecond)
+		}
+		if in.Health != fleet.Serving || in.IsBroken {
+			continue
+		}
+		if !seen[in.Zone] {
+			seen[in.Zone] = true
+			p.zoneNames = append(p.zoneNames, in.Zone)
+		}
+		z := p.zoneOf(in.Service, in.Zone)
+		if in.Failing >= p.settings.FailingPercent {
+			z.avoid = append(z.avoid, i)
+		} else {
+			z.usable = append(z.usable, i)
+			z.limit += float64(in.Limit)
+			z.load += float64(in.Load) / 1000 * float64(in.Limit)
+		}
+		slots[in.Service] += float64(in.Limit) * p.settings.FilledShare
+	}
+	for _, byZone := range p.zones {
+		for _, z := range byZone {
+			if z.limit > 0 {
+				z.load /= z.limit
+			}
+		}
+	}
+	demands := make([]Demand, 0, len(rates))
+	for id, rate := range rates {
+		if rank, cost, ok := route(id); ok {
+			demands = append(demands, Demand{Route: id, Rank: rank, PerSecond: rate, Cost: cost})
+		}
+	}
+	p.fractions = Fractions(slots, demands)
+}
+
+func (p *Planner) zoneOf(s request.ServiceID, zone request.ZoneID) *zoneLoad {
+	byZone := p.zones[s]
+	if byZone == nil {
+		byZone = map[request.ZoneID]*zoneLoad{}
+		p.zones[s] = byZone
+	}
+	z := byZone[zone]
+	if z == nil {
+		z = &zoneLoad{}
+		byZone[zone] = z
+	}
+	return z
+}
+
+// Age returns the time since the last update.
+func (p *Planner) Age(now request.Instant) time.Duration { return now.Sub(p.updated) }
+
+// Fraction returns the share of the route's requests that may begin.
+func (p *Planner) Fraction(r routing.RouteID) float64 {
+	if f, ok := p.fractions[r]; ok {
+		return f
+	}
+	return 1
+}
+
+// Admit reports whether a new request of the route may begin. A client that returns after a refusal is preferred.
+func (p *Planner) Admit(r routing.RouteID, isReturn bool) bool {
+	f := p.Fraction(r)
+	if isReturn {
+		f = 1 - (1-f)*(1-f)
+	}
+	return f >= 1 || p.random.Float64() < f
+}
+
+// Root returns where the tree of a request begins; excluded instances have refused it.
+func (p *Planner) Root(service request.ServiceID, cost tree.Cost, excluded []netip.Addr) (Target, bool) {
+	return p.pick(service, p.rootZone(service, cost), excluded)
+}
+
+// rootZone returns the zone whose tightest service has room for the tree.
+func (p *Planner) rootZone(service request.ServiceID, cost tree.Cost) request.ZoneID {
+	own := p.tightest(p.zone, service, cost)
+	if own <= p.settings.KeepLoad {
+		return p.zone
+	}
+	best, room := p.zone, 0.0
+	total := 0.0
+	for _, z := range p.zoneNames {
+		if z == p.zone {
+			continue
+		}
+		if d := own - p.tightest(z, service, cost); d > 0 {
+			total += d
+			// Reservoir choice: each zone is taken in proportion to its room.
+			if p.random.Float64()*total < d {
+				best, room = z, d
+			}
+		}
+	}
+	if best != p.zone && p.random.Float64() < room*p.settings.MoveGain {
+		return best
+	}
+	return p.zone
+}
+
+// tightest returns the highest load among the services of the tree in a zone.
+func (p *Planner) tightest(zone request.ZoneID, service request.ServiceID, cost tree.Cost) float64 {
+	load := p.loadOf(service, zone)
+	if math.IsInf(load, 1) {
+		return load
+	}
+	for s := range cost {
+		if s == service {
+			continue
+		}
+		l := p.loadOf(s, zone)
+		if math.IsInf(l, 1) {
+			// Calls to the service leave the zone; that costs time and bytes, but works.
+			l = p.bestLoad(s) + callPenalty
+		}
+		load = max(load, l)
+	}
+	return load
+}
+
+// callPenalty is the load that weighs as much as calls that cross zones.
+const callPenalty = 0.2
+
+func (p *Planner) loadOf(s request.ServiceID, zone request.ZoneID) float64 {
+	z := p.zones[s][zone]
+	if z == nil || len(z.usable) == 0 {
+		return math.Inf(1)
+	}
+	return z.load
+}
+
+func (p *Planner) bestLoad(s request.ServiceID) float64 {
+	best := math.Inf(1)
+	for _, z := range p.zones[s] {
+		if len(z.usable) > 0 {
+			best = min(best, z.load)
+		}
+	}
+	return best
+}
+
+// Call returns where a call of a running request goes: within the zone, unless it is much fuller there than elsewhere.
+func (p *Planner) Call(service request.ServiceID, excluded []netip.Addr) (Target, bool) {
+	zone := p.zone
+	if own := p.loadOf(service, zone); own > p.settings.CallLoad && !math.IsInf(own, 1) {
+		if best := p.bestLoad(service); best < 1 && p.random.Float64() < (own-best)/own/2 {
+			zone = p.leastLoaded(service)
+		}
+	}
+	return p.pick(service, zone, excluded)
+}
+
+func (p *Planner) leastLoaded(s request.ServiceID) request.ZoneID {
+	best, load := p.zone, math.Inf(1)
+	for _, name := range p.zoneNames {
+		if l := p.loadOf(s, name); l < load {
+			best, load = name, l
+		}
+	}
+	return best
+}
+
+// pick chooses an instance in the zone, or in the least loaded other zone, or one that is avoided, in this order.
+func (p *Planner) pick(s request.ServiceID, zone request.ZoneID, excluded []netip.Addr) (Target, bool) {
+	if t, ok := p.choose(p.zones[s][zone], excluded, p.random.Float64() < p.settings.ProbeShare); ok {
+		return t, true
+	}
+	var best Target
+	found, load := false, math.Inf(1)
+	for _, name := range p.zoneNames {
+		z := p.zones[s][name]
+		if z == nil || name == zone || z.load >= load {
+			continue
+		}
+		if t, ok := p.choose(z, excluded, false); ok {
+			best, found, load = t, true, z.load
+		}
+	}
+	if found {
+		return best, true
+	}
+	for _, name := range p.zoneNames {
+		if t, ok := p.choose(p.zones[s][name], excluded, true); ok {
+			return t, true
+		}
+	}
+	return p.stale(s, excluded)
+}
+
+// choose takes the less loaded of two random instances.
+func (p *Planner) choose(z *zoneLoad, excluded []netip.Addr, isProbe bool) (Target, bool) {
+	if z == nil {
+		return Target{}, false
+	}
+	list := z.usable
+	if isProbe && len(z.avoid) > 0 {
+		list = z.avoid
+	}
+	best, load := -1, math.Inf(1)
+	tries := 2
+	if len(list) <= 4 {
+		tries = len(list)
+	}
+	offset := 0
+	if len(list) > 0 {
+		offset = p.random.IntN(len(list))
+	}
+	for k := 0; k < len(list) && tries > 0; k++ {
+		i := list[(offset+k)%len(list)]
+		if isExcluded(p.instances[i].Address, excluded) {
+			continue
+		}
+		tries--
+		if l := p.loadAt(i); l < load {
+			best, load = i, l
+		}
+		if len(list) > 4 {
+			offset = p.random.IntN(len(list))
+		}
+	}
+	if best < 0 {
+		return Target{}, false
+	}
+	return p.target(best), true
+}
+
+func (p *Planner) loadAt(i int) float64 {
+	in := &p.instances[i]
+	return float64(in.Load)/1000 + p.sent[i]/max(1, float64(in.Limit))
+}
+
+// sentWeight is the share of an attempt that counts as load until the next update, since some of them end before it.
+const sentWeight = 0.5
+
+func (p *Planner) target(i int) Target {
+	p.sent[i] += sentWeight
+	in := &p.instances[i]
+	return Target{Address: in.Address, Instance: in.Instance, Zone: in.Zone, IsSelf: in.IsSelf}
+}
+
+// stale returns an instance that served when it was last heard of; its gate refuses if that has changed.
+func (p *Planner) stale(s request.ServiceID, excluded []netip.Addr) (Target, bool) {
+	best := -1
+	for i, in := range p.instances {
+		if in.Service != s || in.Health != fleet.Serving || isExcluded(in.Address, excluded) {
+			continue
+		}
+		if best < 0 || p.random.IntN(2) == 0 {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Target{}, false
+	}
+	return p.target(best), true
+}
+
+func isExcluded(a netip.Addr, excluded []netip.Addr) bool {
+	for _, e := range excluded {
+		if e == a {
+			return true
+		}
+	}
+	return false
+}
+
+// ReturnDelay spreads the return of refused clients over the second third of the wait that they accept.
+func ReturnDelay(left time.Duration, random *rand.Rand) time.Duration {
+	longest := left / 3
+	return longest/3 + time.Duration(random.Int64N(int64(max(1, longest/3))))
+}
--- a/session/claim.go
+++ b/session/claim.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"math/rand/v2"
 
-	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/store"
 )
 
 // claimPrefix begins the keys of claim rows.
@@ -76,7 +76,7 @@
 	// ClaimRead is the result of ReadClaims.
 	ClaimRead struct {
 		Batch uint64
-		Rows  []platform.Row
+		Rows  []store.Row
 		Err   error
 	}
 )
@@ -95,12 +95,12 @@
 	// CommitClaims asks the shell to commit a transaction.
 	CommitClaims struct {
 		Batch       uint64
-		Transaction platform.Transaction
+		Transaction store.Transaction
 	}
 	// ReadClaims asks the shell to read rows.
 	ReadClaims struct {
 		Batch uint64
-		Keys  []platform.Key
+		Keys  []store.Key
 	}
 	// ResolveClaim tells the result. A granted claim is dispatched under Effect, and then released or finished;
 	// one that is not granted is never dispatched and gets Outcome and Reason.
@@ -129,9 +129,9 @@
 // entry is a claim that this node is busy with.
 type entry struct {
 	claim    Claim
-	key      platform.Key
+	key      store.Key
 	nonce    Nonce
-	revision platform.Revision // of our row, once read for its deletion
+	revision store.Revision // of our row, once read for its deletion
 	attempts int
 	state    claimState
 	deferred *Claim // a resend that arrived while the row was being deleted
@@ -142,7 +142,7 @@
 type Claims struct {
 	settings ClaimSettings
 	random   *rand.Rand
-	busy     map[platform.Key]*entry
+	busy     map[store.Key]*entry
 	queue    []*entry // claims and releases that wait for a transaction
 	flight   []*entry // the batch in flight
 	deletes  bool     // the batch in flight deletes
@@ -160,13 +160,13 @@
 	if s.Attempts == 0 {
 		s.Attempts = defaultClaimAttempts
 	}
-	return &Claims{settings: s, random: random, busy: map[platform.Key]*entry{}}
+	return &Claims{settings: s, random: random, busy: map[store.Key]*entry{}}
 }
 
 // claimKey hashes the idempotency key, which may hold any bytes.
-func claimKey(customer request.CustomerID, key string) platform.Key {
+func claimKey(customer request.CustomerID, key string) store.Key {
 	sum := keySum(customer, key)
-	return platform.Key(claimPrefix + hex.EncodeToString(sum[:]))
+	return store.Key(claimPrefix + hex.EncodeToString(sum[:]))
 }
 
 func (c *Claims) newNonce() Nonce { return Nonce(request.NewID(c.random)) }
@@ -185,7 +185,7 @@
 }
 
 // ours reports whether the row holds the claim. A row that cannot be parsed belongs to someone else.
-func (c *Claims) ours(e *entry, row platform.Row) bool {
+func (c *Claims) ours(e *entry, row store.Row) bool {
 	var r claimRow
 	return json.Unmarshal(row.Value, &r) == nil &&
 		r.Incarnation == c.settings.Incarnation && r.Nonce == hex.EncodeToString(e.nonce[:])
--- a/session/claim_command.go
+++ b/session/claim_command.go
@@ -3,8 +3,8 @@
 import (
 	"slices"
 
-	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/store"
 )
 
 // Handle handles one event and appends the actions to out.
@@ -62,13 +62,13 @@
 	return ResolveClaim{Waiter: e.claim.Waiter, Granted: true, Effect: KeyEffect(e.claim.Customer, e.claim.Key)}
 }
 
-func (c *Claims) finish(key platform.Key) {
+func (c *Claims) finish(key store.Key) {
 	if e := c.busy[key]; e != nil && e.state == granted {
 		delete(c.busy, key)
 	}
 }
 
-func (c *Claims) release(key platform.Key) {
+func (c *Claims) release(key store.Key) {
 	e := c.busy[key]
 	if e == nil || e.state != granted {
 		return
@@ -126,17 +126,17 @@
 }
 
 func (c *Claims) commitFlight() CommitClaims {
-	var t platform.Transaction
+	var t store.Transaction
 	for _, e := range c.flight {
 		e.attempts++
-		t.Conditions = append(t.Conditions, platform.Condition{Key: e.key})
-		t.Writes = append(t.Writes, platform.Write{Key: e.key, Value: c.value(e)})
+		t.Conditions = append(t.Conditions, store.Condition{Key: e.key})
+		t.Writes = append(t.Writes, store.Write{Key: e.key, Value: c.value(e)})
 	}
 	return CommitClaims{Batch: c.batch, Transaction: t}
 }
 
 func (c *Claims) readFlight() ReadClaims {
-	keys := make([]platform.Key, len(c.flight))
+	keys := make([]store.Key, len(c.flight))
 	for i, e := range c.flight {
 		keys[i] = e.key
 	}
@@ -145,10 +145,10 @@
 
 // deleteFlight deletes the rows at the revisions that were read.
 func (c *Claims) deleteFlight() CommitClaims {
-	var t platform.Transaction
+	var t store.Transaction
 	for _, e := range c.flight {
-		t.Conditions = append(t.Conditions, platform.Condition{Key: e.key, Revision: e.revision})
-		t.Writes = append(t.Writes, platform.Write{Key: e.key, Delete: true})
+		t.Conditions = append(t.Conditions, store.Condition{Key: e.key, Revision: e.revision})
+		t.Writes = append(t.Writes, store.Write{Key: e.key, Delete: true})
 	}
 	return CommitClaims{Batch: c.batch, Transaction: t}
 }
@@ -163,7 +163,7 @@
 			out = append(out, c.grant(e))
 		}
 		return out
-	case platform.ConditionFailed.Has(err), platform.Indeterminate.Has(err):
+	case store.ConditionFailed.Has(err), store.Indeterminate.Has(err):
 		return append(out, c.readFlight())
 	}
 	return c.refuseFlight(out)
@@ -187,7 +187,7 @@
 
 func (c *Claims) read(now request.Instant, r ClaimRead, out []ClaimAction) []ClaimAction {
 	if r.Err == nil && len(r.Rows) != len(c.flight) {
-		r.Err = platform.Unavailable.New("the read returned %d rows for %d keys", len(r.Rows), len(c.flight))
+		r.Err = store.Unavailable.New("the read returned %d rows for %d keys", len(r.Rows), len(c.flight))
 	}
 	if c.deletes {
 		return c.readForDelete(r, out)
--- a/session/claim_test.go
+++ b/session/claim_test.go
@@ -12,16 +12,16 @@
 	"github.com/cockroachdb/datadriven"
 	qt "github.com/frankban/quicktest"
 
-	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/session"
+	"github.com/sapphiretack/sapphiretack/store"
 )
 
 // claimWorld runs the claims of several nodes against one platform, in virtual time. Actions wait until a step carries them out.
 type claimWorld struct {
 	t      *testing.T
 	now    request.Instant
-	fake   *platform.Fake
+	fake   *store.Fake
 	nodes  map[string]*claimNode
 	owners map[string]string // node that was granted a key and has not released it
 	log    strings.Builder
@@ -35,7 +35,7 @@
 }
 
 func newClaimWorld(t *testing.T) *claimWorld {
-	w := &claimWorld{t: t, fake: platform.NewFake(), nodes: map[string]*claimNode{}, owners: map[string]string{}}
+	w := &claimWorld{t: t, fake: store.NewFake(), nodes: map[string]*claimNode{}, owners: map[string]string{}}
 	for i, name := range []string{"n1", "n2"} {
 		s := session.ClaimSettings{Instance: request.InstanceID(name), Incarnation: request.Incarnation(i + 1), Batch: 3, Queue: 4}
 		claims := session.NewClaims(s, rand.New(rand.NewPCG(uint64(i), 1)))
@@ -65,13 +65,13 @@
 }
 
 // step carries out the oldest pending action of a node and reports whether there was one.
-func (w *claimWorld) step(n *claimNode, fault platform.Fault) bool {
+func (w *claimWorld) step(n *claimNode, fault store.Fault) bool {
 	if len(n.pending) == 0 {
 		return false
 	}
 	action := n.pending[0]
 	n.pending = n.pending[1:]
-	w.fake.Inject(func(context.Context, platform.OperationKind) platform.Fault { return fault })
+	w.fake.Inject(func(context.Context, store.OperationKind) store.Fault { return fault })
 	defer w.fake.Inject(nil)
 	switch a := action.(type) {
 	case session.CommitClaims:
@@ -108,10 +108,10 @@
 	w.handle(n, session.ClaimReleased{Customer: "c", Key: key})
 }
 
-func parseFault(s string) platform.Fault {
-	return map[string]platform.Fault{
-		"": platform.NoFault, "down": platform.Down, "lost_request": platform.LostRequest,
-		"lost_response": platform.LostResponse, "stale": platform.StaleRead, "delayed": platform.Delayed,
+func parseFault(s string) store.Fault {
+	return map[string]store.Fault{
+		"": store.NoFault, "down": store.Down, "lost_request": store.LostRequest,
+		"lost_response": store.LostResponse, "stale": store.StaleRead, "delayed": store.Delayed,
 	}[s]
 }
 
@@ -161,8 +161,8 @@
 // Guards against a double grant in orders that no script lists: random claims, releases, faults, late deliveries and stale
 // reads at two nodes. The seeds are fixed.
 func TestClaimsRandom(t *testing.T) {
-	faults := []platform.Fault{
-		platform.NoFault, platform.NoFault, platform.Down, platform.LostRequest, platform.LostResponse, platform.StaleRead, platform.Delayed,
+	faults := []store.Fault{
+		store.NoFault, store.NoFault, store.Down, store.LostRequest, store.LostResponse, store.StaleRead, store.Delayed,
 	}
 	granted, resolved := 0, 0
 	for seed := range uint64(300) {
@@ -190,7 +190,7 @@
 			w.now = w.now.Add(time.Duration(random.IntN(300)) * time.Millisecond)
 		}
 		for range 100 {
-			a, b := w.step(w.nodes["n1"], platform.NoFault), w.step(w.nodes["n2"], platform.NoFault)
+			a, b := w.step(w.nodes["n1"], store.NoFault), w.step(w.nodes["n2"], store.NoFault)
 			if !a && !b {
 				break
 			}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/sapphiretack/sapphiretack/platform"
+	"github.com/sapphiretack/sapphiretack/store"
 )
 
 // The paths of the platform's administration.
@@ -46,7 +46,7 @@
 
 // Platform is a stand-in for the platform's table and object store.
 type Platform struct {
-	fake  *platform.Fake
+	fake  *store.Fake
 	slots chan struct{}
 
 	mu     sync.Mutex
@@ -56,7 +56,7 @@
 
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
-	p := &Platform{fake: platform.NewFake(), slots: make(chan struct{}, maxPlatformRequests)}
+	p := &Platform{fake: store.NewFake(), slots: make(chan struct{}, maxPlatformRequests)}
 	p.fake.Inject(p.fault)
 	return p
 }
@@ -64,11 +64,11 @@
 // Handler serves the protocol of package platform and the administration.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+platform.ReadPath, p.bounded(p.serveRead))
-	mux.HandleFunc("POST "+platform.ScanPath, p.bounded(p.serveScan))
-	mux.HandleFunc("POST "+platform.CommitPath, p.bounded(p.serveCommit))
-	mux.HandleFunc("GET "+platform.ObjectPath+"{name}", p.bounded(p.serveGet))
-	mux.HandleFunc("PUT "+platform.ObjectPath+"{name}", p.bounded(p.servePut))
+	mux.HandleFunc("POST "+store.ReadPath, p.bounded(p.serveRead))
+	mux.HandleFunc("POST "+store.ScanPath, p.bounded(p.serveScan))
+	mux.HandleFunc("POST "+store.CommitPath, p.bounded(p.serveCommit))
+	mux.HandleFunc("GET "+store.ObjectPath+"{name}", p.bounded(p.serveGet))
+	mux.HandleFunc("PUT "+store.ObjectPath+"{name}", p.bounded(p.servePut))
 	mux.HandleFunc("GET "+PlatformFaultsPath, p.serveFaults)
 	mux.HandleFunc("PUT "+PlatformFaultsPath, p.setFaults)
 	mux.HandleFunc("GET "+PlatformStatsPath, p.serveStats)
@@ -76,7 +76,7 @@
 }
 
 // fault counts a request and returns what goes wrong with it.
-func (p *Platform) fault(_ context.Context, k platform.OperationKind) platform.Fault {
+func (p *Platform) fault(_ context.Context, k store.OperationKind) store.Fault {
 	latency, fault := p.next(k)
 	if latency > 0 {
 		time.Sleep(latency)
@@ -84,36 +84,36 @@
 	return fault
 }
 
-func (p *Platform) next(k platform.OperationKind) (time.Duration, platform.Fault) {
+func (p *Platform) next(k store.OperationKind) (time.Duration, store.Fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	*p.stats.counter(k)++
 	latency := time.Duration(p.faults.LatencyMs) * time.Millisecond
-	change := k == platform.CommitOperation || k == platform.PutOperation
+	change := k == store.CommitOperation || k == store.PutOperation
 	switch {
 	case p.faults.Down:
-		return latency, platform.Down
+		return latency, store.Down
 	case change && p.faults.LoseRequests > 0:
 		p.faults.LoseRequests--
-		return latency, platform.LostRequest
+		return latency, store.LostRequest
 	case change && p.faults.LoseResponses > 0:
 		p.faults.LoseResponses--
-		return latency, platform.LostResponse
+		return latency, store.LostResponse
 	case !change && p.faults.Stale:
-		return latency, platform.StaleRead
+		return latency, store.StaleRead
 	}
-	return latency, platform.NoFault
+	return latency, store.NoFault
 }
 
-func (s *PlatformStats) counter(k platform.OperationKind) *int {
+func (s *PlatformStats) counter(k store.OperationKind) *int {
 	switch k {
-	case platform.ReadOperation:
+	case store.ReadOperation:
 		return &s.Reads
-	case platform.ScanOperation:
+	case store.ScanOperation:
 		return &s.Scans
-	case platform.CommitOperation:
+	case store.CommitOperation:
 		return &s.Commits
-	case platform.GetOperation:
+	case store.GetOperation:
 		return &s.Gets
 	}
 	return &s.Puts
@@ -126,12 +126,12 @@
 		case p.slots <- struct{}{}:
 			defer func() { <-p.slots }()
 		default:
-			writePlatformError(w, platform.Unavailable.New("%d requests are in flight; send it again later", maxPlatformRequests))
+			writePlatformError(w, store.Unavailable.New("%d requests are in flight; send it again later", maxPlatformRequests))
 			return
 		}
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxBodyBytes))
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxBodyBytes))
 		if err != nil {
-			writePlatformError(w, platform.Refused.New("the body cannot be read: %v; send at most %d bytes", err, platform.MaxBodyBytes))
+			writePlatformError(w, store.Refused.New("the body cannot be read: %v; send at most %d bytes", err, store.MaxBodyBytes))
 			return
 		}
 		// A change takes effect also when its client has gone, as at a remote service.
@@ -142,8 +142,8 @@
 }
 
 func (p *Platform) serveRead(w http.ResponseWriter, r *http.Request, body []byte) error {
-	var request platform.ReadRequest
-	if err := platform.DecodeStrict(body, &request); err != nil {
+	var request store.ReadRequest
+	if err := store.DecodeStrict(body, &request); err != nil {
 		return err
 	}
 	rows, err := p.fake.Read(r.Context(), request.Keys)
@@ -151,8 +151,8 @@
 }
 
 func (p *Platform) serveScan(w http.ResponseWriter, r *http.Request, body []byte) error {
-	var request platform.ScanRequest
-	if err := platform.DecodeStrict(body, &request); err != nil {
+	var request store.ScanRequest
+	if err := store.DecodeStrict(body, &request); err != nil {
 		return err
 	}
 	rows, err := p.fake.Scan(r.Context(), request.Prefix, request.After, request.Limit)
@@ -160,8 +160,8 @@
 }
 
 func (p *Platform) serveCommit(w http.ResponseWriter, r *http.Request, body []byte) error {
-	var t platform.Transaction
-	if err := platform.DecodeStrict(body, &t); err != nil {
+	var t store.Transaction
+	if err := store.DecodeStrict(body, &t); err != nil {
 		return err
 	}
 	if err := p.fake.Commit(r.Context(), t); err != nil {
@@ -197,16 +197,16 @@
 func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 1<<10))
 	if err != nil {
-		writePlatformError(w, platform.Refused.New("the body cannot be read: %v; send the faults as JSON", err))
+		writePlatformError(w, store.Refused.New("the body cannot be read: %v; send the faults as JSON", err))
 		return
 	}
 	var faults PlatformFaults
-	if err := platform.DecodeStrict(body, &faults); err != nil {
+	if err := store.DecodeStrict(body, &faults); err != nil {
 		writePlatformError(w, err)
 		return
 	}
 	if faults.LatencyMs < 0 || faults.LatencyMs > maxLatencyMs || faults.LoseRequests < 0 || faults.LoseResponses < 0 {
-		writePlatformError(w, platform.Refused.New("a number is out of range; use latency_ms from 0 to %d and counts from 0", maxLatencyMs))
+		writePlatformError(w, store.Refused.New("a number is out of range; use latency_ms from 0 to %d and counts from 0", maxLatencyMs))
 		return
 	}
 	p.SetFaults(faults)
@@ -231,11 +231,11 @@
 	_ = writePlatformJSON(w, http.StatusOK, stats)
 }
 
-func writeRows(w http.ResponseWriter, rows []platform.Row, err error) error {
+func writeRows(w http.ResponseWriter, rows []store.Row, err error) error {
 	if err != nil {
 		return err
 	}
-	return writePlatformJSON(w, http.StatusOK, platform.RowsResponse{Rows: rows})
+	return writePlatformJSON(w, http.StatusOK, store.RowsResponse{Rows: rows})
 }
 
 func writePlatformJSON(w http.ResponseWriter, status int, v any) error {
@@ -253,20 +253,20 @@
 func writePlatformError(w http.ResponseWriter, err error) {
 	status, kind := http.StatusInternalServerError, "internal"
 	switch {
-	case platform.Indeterminate.Has(err):
+	case store.Indeterminate.Has(err):
 		panic(http.ErrAbortHandler)
-	case platform.ConditionFailed.Has(err):
-		status, kind = http.StatusConflict, platform.KindConditionFailed
-	case platform.Unavailable.Has(err):
-		status, kind = http.StatusServiceUnavailable, platform.KindUnavailable
-	case platform.Refused.Has(err):
-		status, kind = http.StatusBadRequest, platform.KindRefused
-	case platform.NotFound.Has(err):
-		status, kind = http.StatusNotFound, platform.KindNotFound
+	case store.ConditionFailed.Has(err):
+		status, kind = http.StatusConflict, store.KindConditionFailed
+	case store.Unavailable.Has(err):
+		status, kind = http.StatusServiceUnavailable, store.KindUnavailable
+	case store.Refused.Has(err):
+		status, kind = http.StatusBadRequest, store.KindRefused
+	case store.NotFound.Has(err):
+		status, kind = http.StatusNotFound, store.KindNotFound
 	}
 	message := err.Error()
 	if cause := errors.Unwrap(err); cause != nil {
 		message = cause.Error()
 	}
-	_ = writePlatformJSON(w, status, platform.ErrorResponse{Kind: kind, Message: message, Remedy: "see package platform"})
+	_ = writePlatformJSON(w, status, store.ErrorResponse{Kind: kind, Message: message, Remedy: "see package platform"})
 }
--- a/platform/client.go
+++ b/store/client.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
--- a/platform/client_test.go
+++ b/store/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"bytes"
@@ -18,14 +18,14 @@
 	"github.com/cockroachdb/datadriven"
 	qt "github.com/frankban/quicktest"
 
-	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/standin"
+	"github.com/sapphiretack/sapphiretack/store"
 )
 
 var ctx = context.Background()
 
-func newClient(t testing.TB, url string, transport http.RoundTripper) *platform.Client {
-	c, err := platform.NewClient(platform.Settings{URL: url, Transport: transport})
+func newClient(t testing.TB, url string, transport http.RoundTripper) *store.Client {
+	c, err := store.NewClient(store.Settings{URL: url, Transport: transport})
 	qt.Assert(t, err, qt.IsNil)
 	return c
 }
@@ -35,21 +35,21 @@
 	switch {
 	case err == nil:
 		return "ok"
-	case platform.ConditionFailed.Has(err):
+	case store.ConditionFailed.Has(err):
 		return "condition failed"
-	case platform.Unavailable.Has(err):
+	case store.Unavailable.Has(err):
 		return "unavailable"
-	case platform.Indeterminate.Has(err):
+	case store.Indeterminate.Has(err):
 		return "indeterminate"
-	case platform.Refused.Has(err):
+	case store.Refused.Has(err):
 		return "refused"
-	case platform.NotFound.Has(err):
+	case store.NotFound.Has(err):
 		return "not found"
 	}
 	return err.Error()
 }
 
-func describe(rows []platform.Row, err error) string {
+func describe(rows []store.Row, err error) string {
 	if err != nil {
 		return class(err)
 	}
@@ -64,18 +64,18 @@
 }
 
 // transaction reads the arguments require=(KEY,REVISION), write=(KEY,VALUE) and delete=KEY.
-func transaction(t *testing.T, args []datadriven.CmdArg) (x platform.Transaction) {
+func transaction(t *testing.T, args []datadriven.CmdArg) (x store.Transaction) {
 	for _, a := range args {
-		k := platform.Key(a.Vals[0])
+		k := store.Key(a.Vals[0])
 		switch a.Key {
 		case "require":
 			n, err := strconv.ParseUint(a.Vals[1], 10, 64)
 			qt.Assert(t, err, qt.IsNil)
-			x.Conditions = append(x.Conditions, platform.Condition{Key: k, Revision: platform.Revision(n)})
+			x.Conditions = append(x.Conditions, store.Condition{Key: k, Revision: store.Revision(n)})
 		case "write":
-			x.Writes = append(x.Writes, platform.Write{Key: k, Value: []byte(a.Vals[1])})
+			x.Writes = append(x.Writes, store.Write{Key: k, Value: []byte(a.Vals[1])})
 		case "delete":
-			x.Writes = append(x.Writes, platform.Write{Key: k, Delete: true})
+			x.Writes = append(x.Writes, store.Write{Key: k, Delete: true})
 		}
 	}
 	return x
@@ -90,9 +90,9 @@
 	datadriven.RunTest(t, "testdata/client", func(t *testing.T, d *datadriven.TestData) string {
 		switch d.Cmd {
 		case "read":
-			var keys []platform.Key
+			var keys []store.Key
 			for _, a := range d.CmdArgs {
-				keys = append(keys, platform.Key(a.Key))
+				keys = append(keys, store.Key(a.Key))
 			}
 			return describe(c.Read(ctx, keys))
 		case "scan":
@@ -101,7 +101,7 @@
 			d.ScanArgs(t, "prefix", &prefix)
 			d.MaybeScanArgs(t, "after", &after)
 			d.ScanArgs(t, "limit", &limit)
-			return describe(c.Scan(ctx, platform.Key(prefix), platform.Key(after), limit))
+			return describe(c.Scan(ctx, store.Key(prefix), store.Key(after), limit))
 		case "commit":
 			return class(c.Commit(ctx, transaction(t, d.CmdArgs)))
 		case "put":
@@ -172,31 +172,31 @@
 		{transport{err: dial}, "unavailable"},
 		{transport{err: read}, "indeterminate"},
 		{transport{err: context.DeadlineExceeded}, "indeterminate"},
-		{transport{status: 200, body: make([]byte, platform.MaxBodyBytes+1)}, "indeterminate"},
+		{transport{status: 200, body: make([]byte, store.MaxBodyBytes+1)}, "indeterminate"},
 	} {
 		client := newClient(t, "http://127.0.0.1:1", c.transport)
-		err := client.Commit(ctx, platform.Transaction{})
+		err := client.Commit(ctx, store.Transaction{})
 		qt.Check(t, class(err), qt.Equals, c.want, qt.Commentf("%d %v %.40s", c.transport.status, c.transport.err, c.transport.body))
 	}
 }
 
 // Guards against arguments that the platform would refuse after they were sent.
 func TestBounds(t *testing.T) {
-	for _, table := range []platform.Table{platform.NewFake(), newClient(t, "http://127.0.0.1:1", transport{status: 200})} {
-		long := platform.Key(strings.Repeat("k", platform.MaxKeyBytes+1))
-		_, err := table.Read(ctx, []platform.Key{long})
+	for _, table := range []store.Table{store.NewFake(), newClient(t, "http://127.0.0.1:1", transport{status: 200})} {
+		long := store.Key(strings.Repeat("k", store.MaxKeyBytes+1))
+		_, err := table.Read(ctx, []store.Key{long})
 		qt.Check(t, class(err), qt.Equals, "refused")
-		_, err = table.Read(ctx, make([]platform.Key, platform.MaxKeys+1))
+		_, err = table.Read(ctx, make([]store.Key, store.MaxKeys+1))
 		qt.Check(t, class(err), qt.Equals, "refused")
-		_, err = table.Scan(ctx, "a", "", platform.MaxRows+1)
+		_, err = table.Scan(ctx, "a", "", store.MaxRows+1)
 		qt.Check(t, class(err), qt.Equals, "refused")
-		err = table.Commit(ctx, platform.Transaction{Writes: make([]platform.Write, platform.MaxWrites+1)})
+		err = table.Commit(ctx, store.Transaction{Writes: make([]store.Write, store.MaxWrites+1)})
 		qt.Check(t, class(err), qt.Equals, "refused")
-		err = table.Commit(ctx, platform.Transaction{Writes: []platform.Write{{Key: "k", Value: make([]byte, platform.MaxValueBytes+1)}}})
+		err = table.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: "k", Value: make([]byte, store.MaxValueBytes+1)}}})
 		qt.Check(t, class(err), qt.Equals, "refused")
 	}
 	for _, url := range []string{"", "127.0.0.1:7000", "ftp://127.0.0.1", "http://", "http://127.0.0.1/?a=b"} {
-		_, err := platform.NewClient(platform.Settings{URL: url})
+		_, err := store.NewClient(store.Settings{URL: url})
 		qt.Check(t, class(err), qt.Equals, "refused", qt.Commentf("%q", url))
 	}
 }
@@ -207,12 +207,12 @@
 	defer server.Close()
 	c := newClient(t, server.URL, nil)
 	for i := range 6 {
-		x := platform.Transaction{Writes: []platform.Write{{Key: platform.Key(fmt.Sprint("k", i)), Value: make([]byte, platform.MaxValueBytes)}}}
+		x := store.Transaction{Writes: []store.Write{{Key: store.Key(fmt.Sprint("k", i)), Value: make([]byte, store.MaxValueBytes)}}}
 		qt.Assert(t, c.Commit(ctx, x), qt.IsNil)
 	}
-	var rows []platform.Row
-	for after := platform.Key(""); ; after = rows[len(rows)-1].Key {
-		page, err := c.Scan(ctx, "k", after, platform.MaxRows)
+	var rows []store.Row
+	for after := store.Key(""); ; after = rows[len(rows)-1].Key {
+		page, err := c.Scan(ctx, "k", after, store.MaxRows)
 		qt.Assert(t, err, qt.IsNil)
 		if len(page) == 0 {
 			break
@@ -237,10 +237,10 @@
 	}
 	f.Fuzz(func(t *testing.T, status uint16, body []byte) {
 		c := newClient(t, "http://127.0.0.1:1", transport{status: int(status), body: body})
-		keys := []platform.Key{"a", "b"}
+		keys := []store.Key{"a", "b"}
 		if rows, err := c.Read(ctx, keys); err == nil {
 			qt.Assert(t, rows, qt.HasLen, 2)
-			qt.Assert(t, rows[0].Key+rows[1].Key, qt.Equals, platform.Key("ab"))
+			qt.Assert(t, rows[0].Key+rows[1].Key, qt.Equals, store.Key("ab"))
 		}
 		if rows, err := c.Scan(ctx, "p/", "p/1", 3); err == nil {
 			qt.Assert(t, len(rows) <= 3, qt.IsTrue)
@@ -248,7 +248,7 @@
 				qt.Assert(t, r.Key > "p/1" && strings.HasPrefix(string(r.Key), "p/"), qt.IsTrue)
 			}
 		}
-		err := c.Commit(ctx, platform.Transaction{})
+		err := c.Commit(ctx, store.Transaction{})
 		qt.Assert(t, err == nil, qt.Equals, status == 200)
 		_, _ = c.Get(ctx, "name")
 	})
