placement: place whole trees by what the clients of each zone ask for

A tree reaches racedesk about a second after it was placed, so choosing zones by the reported load moved all trees to the zone that had been idle a second before. Ruled out: too little capacity (the mean over the zones stayed near 0.9). Change: the demand of each zone's clients, from their rates and the learned cost of each route, is compared with the capacity of the zone's instances, corrected for their speed; only what exceeds it moves, to zones with room.

--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -51,8 +51,10 @@
 	Limit       uint16 // attempts that may run at once
 	// Load is the mean of running and waiting attempts over the limit, in thousandths.
 	Load uint16
-	// Wait is the expected time in the queue.
-	Wait time.Duration
+	// UsualRoute is the route of most attempts here, and UsualTime the mean time for which one of them holds a slot; the
+	// times of several instances tell how fast their backend servers are.
+	UsualRoute routing.RouteID
+	UsualTime  time.Duration
 	// Failing is the share of recent attempts that the backend server failed or refused, in percent.
 	Failing uint8
 	// Configuration is the version in force at the node.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -188,8 +188,17 @@
 // Queued returns the number of attempts that wait.
 func (g *Gate) Queued() int { return len(g.queue) }
 
-// Held returns the mean time that an attempt holds a slot, or 0 before the first completion.
-func (g *Gate) Held() time.Duration { return g.held.value }
+// Usual returns the route of which most attempts completed, and the mean time for which one of them holds a slot.
+func (g *Gate) Usual() (routing.RouteID, time.Duration) {
+	var usual routing.RouteID
+	most := &mean{}
+	for r, m := range g.times {
+		if m.count > most.count || m.count == most.count && r < usual {
+			usual, most = r, m
+		}
+	}
+	return usual, most.value
+}
 
 // Arrive decides on a new attempt; displaced entries of the queue are returned as actions.
 func (g *Gate) Arrive(now request.Instant, a Attempt) (Decision, []Action) {
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -578,9 +578,10 @@
 	defer b.mu.Unlock()
 	b.apply(b.gate.Tick(now))
 	limit := b.gate.Limit(now)
+	route, usual := b.gate.Usual()
 	return fleet.Entry{
 		Service: *b.node.origin.Load(), Instance: b.lifetime.Instance, Health: b.health, Limit: uint16(min(limit, 1<<16-1)),
-		Wait: b.gate.Wait(now), Failing: b.failing.percent(now),
+		UsualRoute: route, UsualTime: usual, Failing: b.failing.percent(now),
 	}, float64(b.gate.Running()+b.gate.Queued()) / float64(limit)
 }
 
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -17,6 +17,8 @@
 const (
 	// tickInterval is the time between two rounds of messages and decisions on placement.
 	tickInterval = 100 * time.Millisecond
+	// planLines is the number of rounds for which one line tells what the decisions are based on.
+	planLines = 10
 	// loadTime is the time over which the load of the backend server is averaged.
 	loadTime = 200 * time.Millisecond
 	// forgetTime is the silence after which a node is removed from the table.
@@ -77,6 +79,9 @@
 		n.sendEntries(m)
 	}
 	n.metrics.gauge(entry, n.round.load, instances)
+	if n.round.number%planLines == 0 {
+		n.logPlan()
+	}
 }
 
 // plan gives the planner the present state.
--- a/mesh/log.go
+++ b/mesh/log.go
@@ -1,12 +1,15 @@
 package mesh
 
 import (
+	"math"
+	"strconv"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/sapphiretack/sapphiretack/placement"
 	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/routing"
 )
 
 // describe adds the fields that all lines of one request have in common.
@@ -66,3 +69,21 @@
 		e.Discard().Send()
 	}
 }
+
+// logPlan writes what admission and placement are based on.
+func (n *Node) logPlan() {
+	n.planMu.Lock()
+	fractions, loads, uses := zerolog.Dict(), zerolog.Dict(), zerolog.Dict()
+	n.planner.Describe(func(route routing.RouteID, fraction float64) {
+		fractions.Float64(strconv.FormatUint(uint64(route), 16), round(fraction))
+	}, func(service request.ServiceID, zone request.ZoneID, load, use float64) {
+		loads.Float64(string(service)+"/"+string(zone), round(load))
+		uses.Float64(string(service)+"/"+string(zone), round(use))
+	})
+	n.planMu.Unlock()
+	n.log.Info().Str("event", "plan").Dict("fractions", fractions).Dict("loads", loads).Dict("uses", uses).
+		Int64("config_version", int64(n.configuration.Version())).Msg("state of admission and placement")
+}
+
+// round shortens a number for a log line.
+func round(v float64) float64 { return math.Round(1000*v) / 1000 }
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -15,7 +15,6 @@
 	"github.com/sapphiretack/sapphiretack/placement"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/routing"
-	"github.com/sapphiretack/sapphiretack/tree"
 )
 
 const (
@@ -256,7 +255,7 @@
 
 // answer passes a response of the backend server on.
 func (n *Node) answer(j *journey, t placement.Target, o answered) *ingress.Response {
-	n.learn(j, o.cost)
+	n.learn(j, o)
 	if o.status < http.StatusInternalServerError {
 		n.ratioMu.Lock()
 		n.ratio.Succeeded(n.now(), j.service)
@@ -273,15 +272,19 @@
 	}}
 }
 
-// learn adds the cost of a tree to its route, and the cost of a call to the run that made it.
-func (n *Node) learn(j *journey, c tree.Cost) {
+// learn adds the cost of a tree to its route, and the cost of a call to the run that made it. A tree that failed lacks the
+// calls that it did not get to make, so it says too little about its route.
+func (n *Node) learn(j *journey, o answered) {
 	if j.parent != "" {
-		n.runs.AddCost(j.parent, c)
+		n.runs.AddCost(j.parent, o.cost)
+		return
+	}
+	if o.status >= http.StatusMultipleChoices {
 		return
 	}
 	n.planMu.Lock()
 	defer n.planMu.Unlock()
-	n.costs.Observe(j.route.ID, c)
+	n.costs.Observe(j.route.ID, o.cost)
 }
 
 // giveUp ends a request without a response of a backend server, or with the failure that an earlier attempt got.
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -1,9 +1,11 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sapphiretack/sapphiretack/fleet"
@@ -16,10 +18,8 @@
 type Settings struct {
 	// FilledShare of the slots is given to requests; queues grow without bound as the share nears 1.
 	FilledShare float64
-	// KeepLoad is the load of the tightest service up to which a tree stays in the own zone.
+	// KeepLoad is the use of the tightest service up to which a tree stays in the own zone.
 	KeepLoad float64
-	// MoveGain turns the difference in load between two zones into the probability of moving.
-	MoveGain float64
 	// CallLoad is the load from which a call leaves the zone of its tree.
 	CallLoad float64
 	// FailingPercent is the share of failures from which an instance is avoided.
@@ -31,7 +31,7 @@
 // DefaultSettings returns the settings of the design.
 func DefaultSettings() Settings {
 	return Settings{
-		FilledShare: 0.97, KeepLoad: 0.7, MoveGain: 2, CallLoad: 1.6,
+		FilledShare: 0.92, KeepLoad: 0.75, CallLoad: 1.6,
 		FailingPercent: 30, ProbeShare: 0.02,
 	}
 }
@@ -44,12 +44,16 @@
 	IsSelf   bool
 }
 
-// zoneLoad is the load of the instances of a service in one zone.
+// zoneLoad is what is known of the instances of a service in one zone.
 type zoneLoad struct {
 	usable []int   // indices of instances
-	avoid  []int   // failing or broken ones
+	avoid  []int   // failing ones
 	limit  float64 // slots of the usable ones
-	load   float64 // mean load over the usable ones
+	// capacity is the limit, corrected for the speed of the backend servers.
+	capacity float64
+	// demand is the number of slots that the requests of the zone's own clients need.
+	demand float64
+	load   float64 // mean load over the usable ones, as they report it
 }
 
 // Planner decides on admission and placement from the last Update; it is not safe for concurrent use.
@@ -61,6 +65,7 @@
 	zones     map[request.ServiceID]map[request.ZoneID]*zoneLoad
 	zoneNames []request.ZoneID
 	fractions map[routing.RouteID]float64
+	totals    map[request.ServiceID]float64 // use of each service on all zones
 	// sent counts attempts per instance since the last update, which the reported loads do not contain yet.
 	sent    []float64
 	updated request.Instant
@@ -78,17 +83,10 @@
 	p.sent = make([]float64, len(instances))
 	p.zones = map[request.ServiceID]map[request.ZoneID]*zoneLoad{}
 	p.zoneNames = p.zoneNames[:0]
-	slots := map[request.ServiceID]float64{}
-	rates := map[routing.RouteID]float64{}
+	speeds := speedsOf(instances)
 	seen := map[request.ZoneID]bool{}
 	for i, in := range instances {
-		if !in.IsFresh {
-			continue
-		}
-		for _, r := range in.Rates {
-			rates[r.Route] += float64(r.PerSecond)
-		}
-		if in.Health != fleet.Serving || in.IsBroken {
+		if !in.IsFresh || in.Health != fleet.Serving || in.IsBroken {
 			continue
 		}
 		if !seen[in.Zone] {
@@ -98,27 +96,88 @@
 		z := p.zoneOf(in.Service, in.Zone)
 		if in.Failing >= p.settings.FailingPercent {
 			z.avoid = append(z.avoid, i)
-		} else {
-			z.usable = append(z.usable, i)
-			z.limit += float64(in.Limit)
-			z.load += float64(in.Load) / 1000 * float64(in.Limit)
+			continue
 		}
-		slots[in.Service] += float64(in.Limit) * p.settings.FilledShare
+		z.usable = append(z.usable, i)
+		z.limit += float64(in.Limit)
+		z.capacity += float64(in.Limit) * speeds[i]
+		z.load += float64(in.Load) / 1000 * float64(in.Limit)
 	}
-	for _, byZone := range p.zones {
+	capacity := map[request.ServiceID]float64{}
+	for s, byZone := range p.zones {
 		for _, z := range byZone {
 			if z.limit > 0 {
 				z.load /= z.limit
 			}
+			capacity[s] += z.capacity * p.settings.FilledShare
+		}
+	}
+	p.plan(capacity, route)
+}
+
+// plan works out which share of each route is admitted, and what the admitted requests of each zone need.
+func (p *Planner) plan(capacity map[request.ServiceID]float64, route func(routing.RouteID) (routing.Rank, tree.Cost, bool)) {
+	type key struct {
+		zone  request.ZoneID
+		route routing.RouteID
+	}
+	byZone := map[key]float64{}
+	total := map[routing.RouteID]float64{}
+	for _, in := range p.instances {
+		if !in.IsFresh {
+			continue
+		}
+		for _, r := range in.Rates {
+			byZone[key{in.Zone, r.Route}] += float64(r.PerSecond)
+			total[r.Route] += float64(r.PerSecond)
 		}
 	}
-	demands := make([]Demand, 0, len(rates))
-	for id, rate := range rates {
+	demands := make([]Demand, 0, len(total))
+	costs := map[routing.RouteID]tree.Cost{}
+	for id, rate := range total {
 		if rank, cost, ok := route(id); ok {
 			demands = append(demands, Demand{Route: id, Rank: rank, PerSecond: rate, Cost: cost})
+			costs[id] = cost
+		}
+	}
+	p.fractions = Fractions(capacity, demands)
+	for k, rate := range byZone {
+		for s, held := range costs[k.route] {
+			p.zoneOf(s, k.zone).demand += p.fractions[k.route] * rate * held.Seconds()
+		}
+	}
+	p.totals = map[request.ServiceID]float64{}
+	for s, zones := range p.zones {
+		wanted := 0.0
+		for _, z := range zones {
+			wanted += z.demand
+		}
+		if c := capacity[s]; c > 0 {
+			p.totals[s] = wanted / c * p.settings.FilledShare
 		}
 	}
-	p.fractions = Fractions(slots, demands)
+}
+
+// speedBounds bound the speed of one backend server relative to the others of its service.
+const minSpeed, maxSpeed = 0.25, 4.0
+
+// speedsOf returns how fast each instance is, relative to the mean of the instances that mostly run the same route.
+func speedsOf(instances []fleet.Instance) []float64 {
+	sum, count := map[routing.RouteID]float64{}, map[routing.RouteID]float64{}
+	for _, in := range instances {
+		if in.IsFresh && in.UsualTime > 0 {
+			sum[in.UsualRoute] += in.UsualTime.Seconds() * float64(in.Limit)
+			count[in.UsualRoute] += float64(in.Limit)
+		}
+	}
+	out := make([]float64, len(instances))
+	for i, in := range instances {
+		out[i] = 1
+		if in.IsFresh && in.UsualTime > 0 && count[in.UsualRoute] > 0 {
+			out[i] = min(maxSpeed, max(minSpeed, sum[in.UsualRoute]/count[in.UsualRoute]/in.UsualTime.Seconds()))
+		}
+	}
+	return out
 }
 
 func (p *Planner) zoneOf(s request.ServiceID, zone request.ZoneID) *zoneLoad {
@@ -135,6 +194,21 @@
 	return z
 }
 
+// Describe passes the state of the decisions on: the share of each route that is admitted below 1, and the loads by service
+// and zone.
+func (p *Planner) Describe(fraction func(routing.RouteID, float64), load func(s request.ServiceID, z request.ZoneID, load, use float64)) {
+	for _, r := range slices.Sorted(maps.Keys(p.fractions)) {
+		if f := p.fractions[r]; f < 1 {
+			fraction(r, f)
+		}
+	}
+	for _, s := range slices.Sorted(maps.Keys(p.zones)) {
+		for _, z := range slices.Sorted(maps.Keys(p.zones[s])) {
+			load(s, z, p.zones[s][z].load, p.useOf(s, z))
+		}
+	}
+}
+
 // Age returns the time since the last update.
 func (p *Planner) Age(now request.Instant) time.Duration { return now.Sub(p.updated) }
 
@@ -160,53 +234,61 @@
 	return p.pick(service, p.rootZone(service, cost), excluded)
 }
 
-// rootZone returns the zone whose tightest service has room for the tree.
+// rootZone returns the zone that has room for the tree. It compares what the clients of each zone ask for with what the zone
+// can carry. The loads that instances report do not serve for this: a tree reaches its tightest service a second after it
+// was placed, and all nodes would move their trees to the zone that was idle a second ago.
 func (p *Planner) rootZone(service request.ServiceID, cost tree.Cost) request.ZoneID {
-	own := p.tightest(p.zone, service, cost)
-	if own <= p.settings.KeepLoad {
+	if own := p.zones[service][p.zone]; own == nil || len(own.usable) == 0 {
+		return p.zone // pick takes another zone
+	}
+	tight, use := p.tightest(p.zone, service, cost)
+	limit := max(p.settings.KeepLoad, p.totals[tight])
+	if use <= limit {
 		return p.zone
 	}
-	best, room := p.zone, 0.0
-	total := 0.0
-	for _, z := range p.zoneNames {
-		if z == p.zone {
+	if p.random.Float64() > 1-limit/use {
+		return p.zone
+	}
+	best, total := p.zone, 0.0
+	for _, name := range p.zoneNames {
+		z := p.zones[tight][name]
+		root := p.zones[service][name]
+		if name == p.zone || z == nil || root == nil || len(root.usable) == 0 {
 			continue
 		}
-		if d := own - p.tightest(z, service, cost); d > 0 {
-			total += d
-			// Reservoir choice: each zone is taken in proportion to its room.
-			if p.random.Float64()*total < d {
-				best, room = z, d
+		if room := limit*z.capacity - z.demand; room > 0 {
+			total += room
+			// Each zone is taken in proportion to its room.
+			if p.random.Float64()*total < room {
+				best = name
 			}
 		}
 	}
-	if best != p.zone && p.random.Float64() < room*p.settings.MoveGain {
-		return best
-	}
-	return p.zone
+	return best
 }
 
-// tightest returns the highest load among the services of the tree in a zone.
-func (p *Planner) tightest(zone request.ZoneID, service request.ServiceID, cost tree.Cost) float64 {
-	load := p.loadOf(service, zone)
-	if math.IsInf(load, 1) {
-		return load
-	}
+// tightest returns the service of the tree that the clients of the zone fill most, and how far.
+func (p *Planner) tightest(zone request.ZoneID, service request.ServiceID, cost tree.Cost) (request.ServiceID, float64) {
+	tight, use := service, p.useOf(service, zone)
 	for s := range cost {
-		if s == service {
-			continue
+		if u := p.useOf(s, zone); u > use || u == use && s < tight {
+			tight, use = s, u
 		}
-		l := p.loadOf(s, zone)
-		if math.IsInf(l, 1) {
-			// Calls to the service leave the zone; that costs time and bytes, but works.
-			l = p.bestLoad(s) + callPenalty
-		}
-		load = max(load, l)
 	}
-	return load
+	return tight, use
+}
+
+// useOf returns the demand of the zone's clients over the capacity of its instances.
+func (p *Planner) useOf(s request.ServiceID, zone request.ZoneID) float64 {
+	z := p.zones[s][zone]
+	if z == nil || z.capacity <= 0 {
+		// Calls to the service leave the zone wherever the tree runs here, which costs time and bytes, but works.
+		return p.totals[s] + callPenalty
+	}
+	return z.demand / z.capacity
 }
 
-// callPenalty is the load that weighs as much as calls that cross zones.
+// callPenalty is the use that weighs as much as calls that cross zones.
 const callPenalty = 0.2
 
 func (p *Planner) loadOf(s request.ServiceID, zone request.ZoneID) float64 {
