--- a/gate/gate.go
+++ b/gate/gate.go
@@ -38,11 +38,11 @@
 	Deadline request.Instant
 }
 
-// order is the place of an attempt in the queue: a call precedes requests of its own rank and of the rank above, since
-// refusing it wastes what its tree has used; within an order the earlier deadline is first.
+// order is the place of an attempt in the queue: a call precedes requests of its own rank, since refusing it wastes what its
+// tree has used; within an order the earlier deadline is first.
 func (a Attempt) order() int {
 	if a.IsCall {
-		return 2*int(a.Rank) - 3
+		return 2*int(a.Rank) - 1
 	}
 	return 2 * int(a.Rank)
 }
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -194,7 +194,10 @@
 		if _, isOwn := calls[service]; !isOwn {
 			calls[service] = 0
 		}
-		calls[service] += held
+		n.planMu.Lock()
+		speed := n.planner.Speed()
+		n.planMu.Unlock()
+		calls[service] += time.Duration(speed * float64(held))
 		o.cost = calls
 		o.isOwnFailure = o.status >= http.StatusInternalServerError && !hasFailedCalls
 		b.failing.observe(n.now(), o.isOwnFailure)
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/sapphiretack/sapphiretack/fleet"
+	"github.com/sapphiretack/sapphiretack/placement"
 	"github.com/sapphiretack/sapphiretack/routing"
-	"github.com/sapphiretack/sapphiretack/tree"
 )
 
 const (
@@ -98,17 +98,20 @@
 	c := n.configuration.Load()
 	n.planMu.Lock()
 	defer n.planMu.Unlock()
-	n.planner.Update(n.now(), instances, func(id routing.RouteID) (routing.Rank, tree.Cost, bool) {
+	n.planner.Update(n.now(), instances, func(id routing.RouteID) (placement.Route, bool) {
 		cost := n.costs.Of(id)
 		if c == nil || cost == nil {
-			return 0, nil, false
+			return placement.Route{}, false
 		}
-		for i := range c.Routes {
-			if c.Routes[i].ID == id {
-				return c.Routes[i].Rank, cost, true
-			}
+		r, ok := c.Route(id)
+		if !ok {
+			return placement.Route{}, false
 		}
-		return 0, nil, false
+		bound := r.Target
+		if r.Timeout > 0 && r.Timeout < bound {
+			bound = r.Timeout
+		}
+		return placement.Route{Rank: r.Rank, Service: r.Main(), Cost: cost, Bound: bound}, true
 	})
 }
 
--- a/placement/admission.go
+++ b/placement/admission.go
@@ -17,6 +17,11 @@
 	Cost      tree.Cost
 }
 
+// compareDemands orders demands by rank.
+func compareDemands(a, b Demand) int {
+	return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Route, b.Route))
+}
+
 // Fractions returns the share of each route that the slots can carry. Routes are served in the order of their rank; routes
 // of one rank that share a full service are cut by the same factor.
 func Fractions(slots map[request.ServiceID]float64, demands []Demand) map[routing.RouteID]float64 {
@@ -25,7 +30,7 @@
 		left[s] = n
 	}
 	demands = slices.Clone(demands)
-	slices.SortFunc(demands, func(a, b Demand) int { return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Route, b.Route)) })
+	slices.SortFunc(demands, compareDemands)
 	out := make(map[routing.RouteID]float64, len(demands))
 	for begin := 0; begin < len(demands); {
 		end := begin
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -14,12 +14,26 @@
 	"github.com/sapphiretack/sapphiretack/tree"
 )
 
+// Route is what is known of a route.
+type Route struct {
+	Rank routing.Rank
+	// Service is where most of its trees begin.
+	Service request.ServiceID
+	Cost    tree.Cost
+	// Bound is the time in which a response is worth most; 0 means that none is known.
+	Bound time.Duration
+}
+
 // Settings are the thresholds of placement.
 type Settings struct {
 	// FilledShare of the slots is given to requests; queues grow without bound as the share nears 1.
 	FilledShare float64
 	// KeepLoad is the use of the tightest service up to which a tree stays in the own zone.
 	KeepLoad float64
+	// SlowShare is the share of its time that a tree may take in a zone; beyond it, variation makes it late too often.
+	SlowShare float64
+	// MoveLoad is the use up to which a zone takes trees that are too slow elsewhere.
+	MoveLoad float64
 	// CallLoad is the load from which a call leaves the zone of its tree.
 	CallLoad float64
 	// FailingPercent is the share of failures from which an instance is avoided.
@@ -31,7 +45,7 @@
 // DefaultSettings returns the settings of the design.
 func DefaultSettings() Settings {
 	return Settings{
-		FilledShare: 0.92, KeepLoad: 0.75, CallLoad: 1.6,
+		FilledShare: 0.92, KeepLoad: 0.75, SlowShare: 0.7, MoveLoad: 0.92, CallLoad: 1.6,
 		FailingPercent: 30, ProbeShare: 0.02,
 	}
 }
@@ -66,6 +80,8 @@
 	zoneNames []request.ZoneID
 	fractions map[routing.RouteID]float64
 	totals    map[request.ServiceID]float64 // use of each service on all zones
+	moves     map[routing.RouteID]move
+	speed     float64 // of the own backend server
 	// sent counts attempts per instance since the last update, which the reported loads do not contain yet.
 	sent    []float64
 	updated request.Instant
@@ -73,19 +89,23 @@
 
 // New returns a planner that knows no instance.
 func New(s Settings, zone request.ZoneID, random *rand.Rand) *Planner {
-	return &Planner{settings: s, zone: zone, random: random, zones: map[request.ServiceID]map[request.ZoneID]*zoneLoad{}}
+	return &Planner{settings: s, zone: zone, random: random, speed: 1, zones: map[request.ServiceID]map[request.ZoneID]*zoneLoad{}}
 }
 
-// Update replaces what the decisions are based on; route returns the rank and cost of a route.
-func (p *Planner) Update(now request.Instant, instances []fleet.Instance, route func(routing.RouteID) (routing.Rank, tree.Cost, bool)) {
+// Update replaces what the decisions are based on; route returns what is known of a route.
+func (p *Planner) Update(now request.Instant, instances []fleet.Instance, route func(routing.RouteID) (Route, bool)) {
 	p.updated = now
 	p.instances = instances
 	p.sent = make([]float64, len(instances))
 	p.zones = map[request.ServiceID]map[request.ZoneID]*zoneLoad{}
 	p.zoneNames = p.zoneNames[:0]
 	speeds := speedsOf(instances)
+	p.speed = 1
 	seen := map[request.ZoneID]bool{}
 	for i, in := range instances {
+		if in.IsSelf {
+			p.speed = speeds[i]
+		}
 		if !in.IsFresh || in.Health != fleet.Serving || in.IsBroken {
 			continue
 		}
@@ -116,7 +136,7 @@
 }
 
 // plan works out which share of each route is admitted, and what the admitted requests of each zone need.
-func (p *Planner) plan(capacity map[request.ServiceID]float64, route func(routing.RouteID) (routing.Rank, tree.Cost, bool)) {
+func (p *Planner) plan(capacity map[request.ServiceID]float64, route func(routing.RouteID) (Route, bool)) {
 	type key struct {
 		zone  request.ZoneID
 		route routing.RouteID
@@ -133,16 +153,16 @@
 		}
 	}
 	demands := make([]Demand, 0, len(total))
-	costs := map[routing.RouteID]tree.Cost{}
+	routes := map[routing.RouteID]Route{}
 	for id, rate := range total {
-		if rank, cost, ok := route(id); ok {
-			demands = append(demands, Demand{Route: id, Rank: rank, PerSecond: rate, Cost: cost})
-			costs[id] = cost
+		if r, ok := route(id); ok {
+			demands = append(demands, Demand{Route: id, Rank: r.Rank, PerSecond: rate, Cost: r.Cost})
+			routes[id] = r
 		}
 	}
 	p.fractions = Fractions(capacity, demands)
 	for k, rate := range byZone {
-		for s, held := range costs[k.route] {
+		for s, held := range routes[k.route].Cost {
 			p.zoneOf(s, k.zone).demand += p.fractions[k.route] * rate * held.Seconds()
 		}
 	}
@@ -156,6 +176,85 @@
 			p.totals[s] = wanted / c * p.settings.FilledShare
 		}
 	}
+	p.moves = map[routing.RouteID]move{}
+	slices.SortFunc(demands, compareDemands)
+	for _, d := range demands {
+		for _, zone := range p.zoneNames {
+			p.moveSlow(d.Route, routes[d.Route], zone, p.fractions[d.Route]*byZone[key{zone, d.Route}])
+		}
+	}
+}
+
+// move is the share of a route that leaves the own zone because it would be too slow there, and where it goes.
+type move struct {
+	share float64
+	zones []request.ZoneID
+	rooms []float64
+}
+
+// moveSlow moves a route out of a zone in which its trees would take most of the time that they have, as far as zones that
+// are fast enough have room.
+func (p *Planner) moveSlow(id routing.RouteID, r Route, zone request.ZoneID, rate float64) {
+	if rate <= 0 || !p.isSlow(r, zone) {
+		return
+	}
+	tight := r.Service
+	for s := range r.Cost {
+		if p.totals[s] > p.totals[tight] || p.totals[s] == p.totals[tight] && s < tight {
+			tight = s
+		}
+	}
+	m := move{}
+	total := 0.0
+	for _, other := range p.zoneNames {
+		z := p.zones[tight][other]
+		if other == zone || z == nil || p.isSlow(r, other) {
+			continue
+		}
+		if room := p.settings.MoveLoad*z.capacity - z.demand; room > 0 {
+			m.zones, m.rooms = append(m.zones, other), append(m.rooms, room)
+			total += room
+		}
+	}
+	if total == 0 {
+		return
+	}
+	m.share = min(1, total/(rate*r.Cost[tight].Seconds()))
+	for s, held := range r.Cost {
+		moved := m.share * rate * held.Seconds()
+		p.zoneOf(s, zone).demand -= moved
+		for i, other := range m.zones {
+			p.zoneOf(s, other).demand += moved * m.rooms[i] / total
+		}
+	}
+	if zone == p.zone {
+		p.moves[id] = m
+	}
+}
+
+// isSlow reports whether a tree of the route takes more of its time in the zone than is safe.
+func (p *Planner) isSlow(r Route, zone request.ZoneID) bool {
+	z := p.zones[r.Service][zone]
+	if z == nil || z.limit == 0 || r.Bound == 0 {
+		return false
+	}
+	speed := z.capacity / z.limit
+	return r.Cost[r.Service].Seconds()/speed > p.settings.SlowShare*r.Bound.Seconds()
+}
+
+// pickMove returns the zone that a moved request goes to.
+func (p *Planner) pickMove(id routing.RouteID) (request.ZoneID, bool) {
+	m, ok := p.moves[id]
+	if !ok || p.random.Float64() >= m.share {
+		return "", false
+	}
+	best, total := m.zones[0], 0.0
+	for i, room := range m.rooms {
+		if total += room; p.random.Float64()*total < room {
+			best = m.zones[i]
+		}
+	}
+	return best, true
 }
 
 // speedBounds bound the speed of one backend server relative to the others of its service.
@@ -209,6 +308,10 @@
 	}
 }
 
+// Speed returns how fast the own backend server is relative to others of its service. Times that are multiplied by it can be
+// compared between instances.
+func (p *Planner) Speed() float64 { return p.speed }
+
 // Age returns the time since the last update.
 func (p *Planner) Age(now request.Instant) time.Duration { return now.Sub(p.updated) }
 
@@ -230,7 +333,10 @@
 }
 
 // Root returns where the tree of a request begins; excluded instances have refused it.
-func (p *Planner) Root(service request.ServiceID, cost tree.Cost, excluded []netip.Addr) (Target, bool) {
+func (p *Planner) Root(id routing.RouteID, service request.ServiceID, cost tree.Cost, excluded []netip.Addr) (Target, bool) {
+	if zone, ok := p.pickMove(id); ok {
+		return p.pick(service, zone, excluded)
+	}
 	return p.pick(service, p.rootZone(service, cost), excluded)
 }
 
--- a/routing/configuration.go
+++ b/routing/configuration.go
@@ -75,6 +75,7 @@
 	Limits   Limits
 
 	byHost map[string][]*Route // longest prefix first
+	byID   map[RouteID]*Route
 }
 
 // NewConfiguration returns a configuration that can be searched.
@@ -83,12 +84,14 @@
 		Version: v, Routes: routes, Limits: l,
 		Services: make(map[request.ServiceID]Service, len(services)),
 		byHost:   map[string][]*Route{},
+		byID:     make(map[RouteID]*Route, len(routes)),
 	}
 	for _, s := range services {
 		c.Services[s.ID] = s
 	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
+		c.byID[r.ID] = r
 		host := strings.ToLower(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
@@ -110,3 +113,20 @@
 	}
 	return nil, false
 }
+
+// Route returns the route with the identifier.
+func (c *Configuration) Route(id RouteID) (*Route, bool) {
+	r, ok := c.byID[id]
+	return r, ok
+}
+
+// Main returns the service that most requests of the route go to.
+func (r *Route) Main() request.ServiceID {
+	best := r.Services[0]
+	for _, part := range r.Services[1:] {
+		if part.Weight > best.Weight {
+			best = part
+		}
+	}
+	return best.Service
+}
