--- a/cmd/sapphiretack/mesh.go
+++ b/cmd/sapphiretack/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -50,6 +51,9 @@
 	}
 	writer := logs.New(os.Stdout, logs.DefaultSettings())
 	log := zerolog.New(writer).Level(level).With().Timestamp().Str("node", s.Node.Name).Logger()
+	// net/http reports what backend servers do wrong through the standard logger, which would block and has no bound.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(libraryLog{log})
 	reload := make(chan mesh.Settings)
 	n := mesh.New(mesh.Dependencies{
 		Settings: s.Node, Dialect: platform.Headers{}, Directory: platform.NewDirectory(platform.NewStore(s.Store)),
@@ -106,3 +110,15 @@
 	}
 	return info.ModTime()
 }
+
+// maxLibraryLine bounds what a library may write in one line.
+const maxLibraryLine = 200
+
+// libraryLog writes the lines of libraries to the log of the node.
+type libraryLog struct{ log zerolog.Logger }
+
+// Write implements io.Writer.
+func (l libraryLog) Write(line []byte) (int, error) {
+	l.log.Info().Str("event", "library").Bytes("line", line[:min(len(line), maxLibraryLine)]).Msg("a library reported a fault")
+	return len(line), nil
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,174 @@
+package fleet_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/fleet"
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/routing"
+)
+
+func address(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}) }
+
+func zoneOf(n int) request.ZoneID { return []request.ZoneID{"a", "b", "c"}[n%3] }
+
+func newTable(n int) *fleet.Table {
+	return fleet.New(fleet.DefaultSettings(), fleet.Address{Address: address(n), Zone: zoneOf(n)}, rand.New(rand.NewPCG(uint64(n), 1)))
+}
+
+func entry(n int, incarnation request.Incarnation, sequence uint32) fleet.Entry {
+	return fleet.Entry{Address: address(n), Zone: zoneOf(n), Incarnation: incarnation, Sequence: sequence, Health: fleet.Serving}
+}
+
+func find(table *fleet.Table, now request.Instant, n int) (fleet.Instance, bool) {
+	for _, i := range table.Snapshot(now) {
+		if i.Address == address(n) {
+			return i, true
+		}
+	}
+	return fleet.Instance{}, false
+}
+
+// TestMergeOrder guards against an old entry that replaces a newer one, however it travelled.
+func TestMergeOrder(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(0)
+	for _, step := range []struct {
+		incarnation  request.Incarnation
+		sequence     uint32
+		wantSequence uint32
+	}{{5, 10, 10}, {5, 9, 10}, {4, 99, 10}, {5, 11, 11}, {6, 1, 1}, {5, 12, 1}} {
+		table.Merge(0, []fleet.Entry{entry(1, step.incarnation, step.sequence)})
+		got, ok := find(table, 0, 1)
+		c.Assert(ok, qt.IsTrue)
+		c.Check(got.Sequence, qt.Equals, step.wantSequence)
+	}
+}
+
+// TestAge guards against an entry that looks fresh because it was passed on late.
+func TestAge(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(0)
+	e := entry(3, 1, 1) // of the own zone
+	e.Age = 900 * time.Millisecond
+	table.Merge(0, []fleet.Entry{e})
+	got, _ := find(table, request.Instant(50*time.Millisecond), 3)
+	c.Check(got.IsFresh, qt.IsTrue)
+	got, _ = find(table, request.Instant(150*time.Millisecond), 3)
+	c.Check(got.IsFresh, qt.IsFalse)
+}
+
+// TestClockSetBack guards against a node that nobody hears any more, because its clock was set back before it started again
+// and its incarnation is lower than before.
+func TestClockSetBack(t *testing.T) {
+	c := qt.New(t)
+	other, restarted := newTable(0), newTable(1)
+	other.Merge(0, []fleet.Entry{entry(1, 900, 50)})
+	renew := func() {
+		restarted.Renew(0, fleet.Entry{Incarnation: 700, Health: fleet.Leaving})
+		self, _ := find(restarted, 0, 1)
+		other.Merge(0, []fleet.Entry{self.Entry})
+	}
+	renew()
+	restarted.Merge(0, []fleet.Entry{entry(1, 900, 50)}) // others still tell of the former run
+	renew()
+	got, _ := find(other, 0, 1)
+	c.Check(got.Health, qt.Equals, fleet.Leaving)
+}
+
+// TestNewerConfiguration guards against a node that does not learn that another node has a newer configuration.
+func TestNewerConfiguration(t *testing.T) {
+	c := qt.New(t)
+	table := newTable(0)
+	a, b := entry(1, 1, 1), entry(2, 1, 1)
+	a.Configuration, b.Configuration = 7, 9
+	version, holder := table.Merge(0, []fleet.Entry{a, b})
+	c.Check(version, qt.Equals, routing.Version(9))
+	c.Check(holder, qt.Equals, address(2))
+}
+
+// spread runs rounds of messages among n nodes and returns the number of rounds until all know all, and the messages.
+func spread(c *qt.C, n, rounds int) (needed, messages int) {
+	tables := make([]*fleet.Table, n)
+	var addresses []fleet.Address
+	for i := range n {
+		tables[i] = newTable(i)
+		addresses = append(addresses, fleet.Address{Address: address(i), Zone: zoneOf(i)})
+	}
+	for _, table := range tables {
+		table.Introduce(addresses)
+	}
+	byAddress := map[netip.Addr]*fleet.Table{}
+	for i := range n {
+		byAddress[address(i)] = tables[i]
+	}
+	for round := 1; round <= rounds; round++ {
+		now := request.Instant(round) * request.Instant(100*time.Millisecond)
+		for _, table := range tables {
+			table.Renew(now, fleet.Entry{Incarnation: 1, Health: fleet.Serving})
+		}
+		for _, table := range tables {
+			for _, m := range table.Messages(now) {
+				messages++
+				data, err := fleet.Encode(m.Entries)
+				c.Assert(err, qt.IsNil)
+				entries, err := fleet.Decode(data)
+				c.Assert(err, qt.IsNil)
+				byAddress[m.To].Merge(now, entries)
+			}
+		}
+		if needed == 0 && knowsAll(tables, now) {
+			needed = round
+		}
+	}
+	return needed, messages
+}
+
+func knowsAll(tables []*fleet.Table, now request.Instant) bool {
+	for _, table := range tables {
+		fresh := 0
+		for _, i := range table.Snapshot(now) {
+			if i.IsFresh {
+				fresh++
+			}
+		}
+		if fresh < len(tables) {
+			return false
+		}
+	}
+	return true
+}
+
+// TestSpread guards against entries that do not reach all nodes within a second, and against messages whose number grows
+// faster than that of the nodes.
+func TestSpread(t *testing.T) {
+	c := qt.New(t)
+	needed, messages := spread(c, 12, 10)
+	c.Check(needed > 0 && needed <= 10, qt.IsTrue, qt.Commentf("12 nodes: %d rounds", needed))
+	c.Check(messages <= 12*10*4, qt.IsTrue, qt.Commentf("%d messages", messages))
+}
+
+// TestDecode guards against a message of a foreign sender that ends the process.
+func TestDecode(t *testing.T) {
+	for _, data := range []string{"", "x", "\x9f\xff\x00", "\x81\x81"} {
+		_, err := fleet.Decode([]byte(data))
+		qt.Check(t, err, qt.IsNotNil, qt.Commentf("%q", data))
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := fleet.Encode([]fleet.Entry{entry(1, 2, 3)})
+	qt.Assert(f, err, qt.IsNil)
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		entries, err := fleet.Decode(data)
+		if err == nil {
+			newTable(0).Merge(0, entries)
+		}
+	})
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -56,6 +56,9 @@
 	broken request.Instant
 }
 
+// neverSent is before any instant that a caller passes.
+const neverSent = request.Instant(-1 << 62)
+
 // Table is what one node knows of the fleet; it is not safe for concurrent use.
 type Table struct {
 	settings Settings
@@ -71,6 +74,7 @@
 // New returns a table that knows the own node only.
 func New(s Settings, self Address, random *rand.Rand) *Table {
 	t := &Table{settings: s, self: self.Address, zone: self.Zone, random: random, members: map[netip.Addr]*member{}}
+	t.lastFar = neverSent
 	t.members[self.Address] = &member{entry: Entry{Address: self.Address, Zone: self.Zone}}
 	return t
 }
@@ -79,7 +83,7 @@
 func (t *Table) Introduce(addresses []Address) {
 	for _, a := range addresses {
 		if t.members[a.Address] == nil {
-			t.members[a.Address] = &member{entry: Entry{Address: a.Address, Zone: a.Zone}}
+			t.members[a.Address] = &member{entry: Entry{Address: a.Address, Zone: a.Zone}, sent: neverSent}
 		}
 	}
 }
@@ -114,7 +118,7 @@
 		}
 		m := t.members[e.Address]
 		if m == nil {
-			m = &member{}
+			m = &member{sent: neverSent}
 			t.members[e.Address] = m
 		}
 		if m.known && !e.isNewer(&m.entry) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -213,7 +213,7 @@
 		return Decision{Kind: Run}, nil
 	}
 	at, _ := slices.BinarySearchFunc(g.queue, a, func(e entry, a Attempt) int {
-		return cmp.Or(cmp.Compare(e.order(), a.order()), cmp.Compare(e.Deadline, a.Deadline))
+		return cmp.Or(cmp.Compare(e.order(), a.order()), cmp.Compare(e.Deadline, a.Deadline), cmp.Compare(e.Number, a.Number))
 	})
 	wait := g.waitAt(now, at)
 	if a.Deadline.Sub(now) < wait+g.usual(a.Route) {
--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,119 @@
+package gate_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/gate"
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/routing"
+)
+
+// script is the state of one scripted test.
+type script struct {
+	gate   *gate.Gate
+	now    request.Instant
+	routes map[gate.Number]routing.RouteID
+	out    strings.Builder
+}
+
+// TestScripts guards against work that runs beyond the limit, runs out of order, runs although it cannot complete, or is
+// refused although it could.
+func TestScripts(t *testing.T) {
+	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+		s := &script{}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			s.out.Reset()
+			for line := range strings.SplitSeq(d.Input, "\n") {
+				command := datadriven.TestData{Pos: d.Pos}
+				var err error
+				command.Cmd, command.CmdArgs, err = datadriven.ParseLine(line)
+				qt.Assert(t, err, qt.IsNil)
+				s.step(t, &command)
+			}
+			return s.out.String()
+		})
+	})
+}
+
+func (s *script) step(t *testing.T, d *datadriven.TestData) {
+	n, slots, rank, route, count := 0, 0, 0, 1, 1
+	var left, by, held string
+	d.MaybeScanArgs(t, "n", &n)
+	d.MaybeScanArgs(t, "slots", &slots)
+	d.MaybeScanArgs(t, "rank", &rank)
+	d.MaybeScanArgs(t, "route", &route)
+	d.MaybeScanArgs(t, "count", &count)
+	d.MaybeScanArgs(t, "left", &left)
+	d.MaybeScanArgs(t, "by", &by)
+	d.MaybeScanArgs(t, "held", &held)
+	number := gate.Number(n)
+	switch d.Cmd {
+	case "new":
+		s.gate = gate.New(gate.Settings{UsedShare: 1, QueuePerSlot: 2, ColdShare: 0.5}, slots)
+		s.routes = map[gate.Number]routing.RouteID{}
+	case "advance":
+		s.now = s.now.Add(duration(t, by))
+		s.print(s.gate.Tick(s.now))
+	case "arrive":
+		for i := range count {
+			number := gate.Number(n + i)
+			s.routes[number] = routing.RouteID(route)
+			decision, actions := s.gate.Arrive(s.now, gate.Attempt{
+				Number: number, Route: routing.RouteID(route), Rank: routing.Rank(rank), IsCall: d.HasArg("call"),
+				Deadline: s.now.Add(duration(t, left)),
+			})
+			fmt.Fprintf(&s.out, "%d %s", number, [...]string{"refused", "waits", "runs"}[decision.Kind])
+			if decision.Kind == gate.Refuse {
+				fmt.Fprintf(&s.out, " %v", decision.Reason)
+			}
+			s.out.WriteByte('\n')
+			s.print(actions)
+		}
+	case "finish":
+		s.print(s.gate.Finish(s.now, number, s.routes[number], duration(t, held), true))
+	case "cancel":
+		fmt.Fprintf(&s.out, "%d cancelled=%v\n", number, s.gate.Cancel(number))
+	case "close":
+		s.print(s.gate.Close(gate.Leaving))
+	case "open":
+		s.gate.Open()
+	case "warm":
+		s.gate.Warm(s.now, duration(t, by))
+	case "limit":
+		fmt.Fprintf(&s.out, "limit %d\n", s.gate.Limit(s.now))
+	default:
+		t.Fatalf("%s: unknown command %q", d.Pos, d.Cmd)
+	}
+}
+
+func (s *script) print(actions []gate.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case gate.Start:
+			fmt.Fprintf(&s.out, "%d starts\n", a.Number)
+		case gate.Drop:
+			fmt.Fprintf(&s.out, "%d dropped %v\n", a.Number, a.Reason)
+		}
+	}
+}
+
+func duration(t *testing.T, s string) time.Duration {
+	t.Helper()
+	d, err := time.ParseDuration(s)
+	qt.Assert(t, err, qt.IsNil)
+	return d
+}
+
+// TestReasonNames guards against a reason that another node reads as another one.
+func TestReasonNames(t *testing.T) {
+	for r := gate.QueueFull; r <= gate.Shedding; r++ {
+		qt.Check(t, gate.ReasonOf(r.String()), qt.Equals, r)
+	}
+	qt.Check(t, gate.ReasonOf("no such reason"), qt.Equals, gate.Unknown)
+}
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -157,3 +157,10 @@
 		}
 	}
 }
+
+// Reachable returns the number of instances that placement may use.
+func (n *Node) Reachable() int {
+	n.planMu.Lock()
+	defer n.planMu.Unlock()
+	return n.planner.Usable()
+}
--- /dev/null
+++ b/placement/placement_test.go
@@ -0,0 +1,227 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/fleet"
+	"github.com/sapphiretack/sapphiretack/placement"
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/routing"
+	"github.com/sapphiretack/sapphiretack/tree"
+)
+
+const (
+	lookup  routing.RouteID = 1
+	arrival routing.RouteID = 2
+	entry   routing.RouteID = 3
+)
+
+// world is a deployment of two services in three zones, one instance each.
+type world struct {
+	instances []fleet.Instance
+	routes    map[routing.RouteID]placement.Route
+}
+
+func newWorld() *world {
+	w := &world{routes: map[routing.RouteID]placement.Route{
+		lookup:  {Rank: 2, Service: "registry", Cost: tree.Cost{"registry": 700 * time.Millisecond, "racedesk": 440 * time.Millisecond}, Bound: 1200 * time.Millisecond},
+		arrival: {Rank: 1, Service: "racedesk", Cost: tree.Cost{"racedesk": 90 * time.Millisecond}, Bound: 300 * time.Millisecond},
+		entry:   {Rank: 0, Service: "registry", Cost: tree.Cost{"registry": 700 * time.Millisecond, "racedesk": 440 * time.Millisecond}, Bound: 1500 * time.Millisecond},
+	}}
+	for i, zone := range []request.ZoneID{"a", "b", "c"} {
+		for k, service := range []request.ServiceID{"registry", "racedesk"} {
+			limit := uint16(100)
+			if service == "racedesk" {
+				limit = 34
+			}
+			w.instances = append(w.instances, fleet.Instance{IsFresh: true, Entry: fleet.Entry{
+				Address: netip.AddrFrom4([4]byte{10, byte(i + 1), 0, byte(k + 1)}), Zone: zone, Service: service,
+				Instance: request.InstanceID(fmt.Sprintf("%s-%s", service, zone)), Health: fleet.Serving, Limit: limit,
+				UsualRoute: routing.RouteID(10 + k), UsualTime: 50 * time.Millisecond,
+			}})
+		}
+	}
+	return w
+}
+
+func (w *world) rate(zone request.ZoneID, r routing.RouteID, perSecond float32) {
+	for i := range w.instances {
+		if w.instances[i].Zone == zone {
+			w.instances[i].Rates = append(w.instances[i].Rates, fleet.Rate{Route: r, PerSecond: perSecond})
+			return
+		}
+	}
+}
+
+func (w *world) planner(zone request.ZoneID) *placement.Planner {
+	p := placement.New(placement.DefaultSettings(), zone, rand.New(rand.NewPCG(1, 2)))
+	p.Update(0, w.instances, func(r routing.RouteID) (placement.Route, bool) {
+		route, ok := w.routes[r]
+		return route, ok
+	})
+	return p
+}
+
+const trials = 2000
+
+// zones counts where the trees of a route begin.
+func (w *world) zones(p *placement.Planner, r routing.RouteID) map[request.ZoneID]int {
+	out := map[request.ZoneID]int{}
+	for range trials {
+		t, ok := p.Root(r, w.routes[r].Service, w.routes[r].Cost, nil)
+		if ok {
+			out[t.Zone]++
+		}
+	}
+	return out
+}
+
+// TestFractions guards against less important requests that take the room of more important ones at a shared service, and
+// against requests that are refused although their services have room.
+func TestFractions(t *testing.T) {
+	c := qt.New(t)
+	slots := map[request.ServiceID]float64{"racedesk": 100, "registry": 1000}
+	got := placement.Fractions(slots, []placement.Demand{
+		{Route: lookup, Rank: 2, PerSecond: 340, Cost: tree.Cost{"racedesk": 440 * time.Millisecond}},
+		{Route: entry, Rank: 0, PerSecond: 97, Cost: tree.Cost{"racedesk": 440 * time.Millisecond, "registry": time.Second}},
+		{Route: arrival, Rank: 1, PerSecond: 102, Cost: tree.Cost{"racedesk": 90 * time.Millisecond}},
+		{Route: 4, Rank: 2, PerSecond: 1000, Cost: tree.Cost{"archives": time.Second}},
+	})
+	c.Check(got[entry], qt.Equals, 1.0)
+	c.Check(got[arrival], qt.Equals, 1.0)
+	want := (100 - 97*0.44 - 102*0.09) / (340 * 0.44)
+	c.Check(got[lookup] > want-1e-9 && got[lookup] < want+1e-9, qt.IsTrue, qt.Commentf("got %v, want %v", got[lookup], want))
+	c.Check(got[4], qt.Equals, 1.0)
+}
+
+// TestCalmStays guards against trees that cross zones without need.
+func TestCalmStays(t *testing.T) {
+	w := newWorld()
+	for _, z := range []request.ZoneID{"a", "b", "c"} {
+		w.rate(z, lookup, 30)
+	}
+	qt.Check(t, w.zones(w.planner("a"), lookup), qt.DeepEquals, map[request.ZoneID]int{"a": trials})
+}
+
+// TestHotZoneOverflows replays a surge in one zone: whole trees move to where there is room, and only what exceeds the zone.
+func TestHotZoneOverflows(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	w.rate("a", lookup, 100) // 44 of 34 slots of racedesk
+	w.rate("b", lookup, 20)
+	w.rate("c", lookup, 20)
+	got := w.zones(w.planner("a"), lookup)
+	c.Check(got["a"] > trials*45/100 && got["a"] < trials*70/100, qt.IsTrue, qt.Commentf("%v", got))
+	c.Check(got["b"] > trials/8 && got["c"] > trials/8, qt.IsTrue, qt.Commentf("%v", got))
+	c.Check(w.zones(w.planner("b"), lookup), qt.DeepEquals, map[request.ZoneID]int{"b": trials})
+}
+
+// TestReportedLoadDoesNotMoveTrees replays the swing of golub-ledger quiet-1: the load that racedesk reports is a second old
+// for the trees that are placed now, and trees that follow it all move to the same zone.
+func TestReportedLoadDoesNotMoveTrees(t *testing.T) {
+	w := newWorld()
+	for _, z := range []request.ZoneID{"a", "b", "c"} {
+		w.rate(z, lookup, 30)
+	}
+	for i := range w.instances {
+		if in := &w.instances[i]; in.Zone == "a" && in.Service == "racedesk" {
+			in.Load = 3000
+		}
+	}
+	qt.Check(t, w.zones(w.planner("a"), lookup)["a"], qt.Equals, trials)
+}
+
+// TestSlowZone replays a zone whose backend servers take 1.6 times as long: trees that would take most of their time there
+// begin elsewhere, short ones stay.
+func TestSlowZone(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	for i := range w.instances {
+		factor := 0.7
+		if w.instances[i].Zone == "c" {
+			factor = 1.6
+		}
+		w.instances[i].UsualTime = time.Duration(factor * float64(50*time.Millisecond))
+	}
+	for _, z := range []request.ZoneID{"a", "b", "c"} {
+		w.rate(z, lookup, 20)
+		w.rate(z, arrival, 10)
+	}
+	p := w.planner("c")
+	c.Check(w.zones(p, lookup)["c"], qt.Equals, 0)
+	c.Check(w.zones(p, arrival), qt.DeepEquals, map[request.ZoneID]int{"c": trials})
+}
+
+// TestGoneServers guards against attempts at instances that are known not to take them while others do.
+func TestGoneServers(t *testing.T) {
+	for name, spoil := range map[string]func(*fleet.Instance){
+		"stale":   func(i *fleet.Instance) { i.IsFresh = false },
+		"leaving": func(i *fleet.Instance) { i.Health = fleet.Leaving },
+		"down":    func(i *fleet.Instance) { i.Health = fleet.Down },
+		"broken":  func(i *fleet.Instance) { i.IsBroken = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld()
+			for i := range w.instances {
+				if w.instances[i].Zone == "a" && w.instances[i].Service == "registry" {
+					spoil(&w.instances[i])
+				}
+			}
+			got := w.zones(w.planner("a"), lookup)
+			c.Check(got["a"], qt.Equals, 0)
+			c.Check(got["b"]+got["c"], qt.Equals, trials)
+		})
+	}
+}
+
+// TestFailingServer guards against a backend server that fails its requests and still gets them all, and against one that
+// gets none and so is never found to have recovered.
+func TestFailingServer(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	for i := range w.instances {
+		if w.instances[i].Zone == "a" && w.instances[i].Service == "registry" {
+			w.instances[i].Failing = 50
+		}
+	}
+	got := w.zones(w.planner("a"), lookup)["a"]
+	c.Check(got > 0 && got < trials/20, qt.IsTrue, qt.Commentf("%d of %d", got, trials))
+}
+
+// TestExcluded guards against a second attempt at an instance that has refused.
+func TestExcluded(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	p := w.planner("a")
+	var excluded []netip.Addr
+	for range 3 {
+		target, ok := p.Call("racedesk", excluded)
+		c.Assert(ok, qt.IsTrue)
+		for _, e := range excluded {
+			c.Check(target.Address, qt.Not(qt.Equals), e)
+		}
+		excluded = append(excluded, target.Address)
+	}
+	_, ok := p.Call("racedesk", excluded)
+	c.Check(ok, qt.IsFalse)
+}
+
+// TestReturnDelay guards against refused clients that all return at once, or after they have given up.
+func TestReturnDelay(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	low, high := time.Hour, time.Duration(0)
+	for range trials {
+		d := placement.ReturnDelay(6*time.Second, random)
+		low, high = min(low, d), max(high, d)
+	}
+	c.Check(high <= 2*time.Second, qt.IsTrue)
+	c.Check(high-low > 500*time.Millisecond, qt.IsTrue)
+}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -312,6 +312,17 @@
 // compared between instances.
 func (p *Planner) Speed() float64 { return p.speed }
 
+// Usable returns the number of instances that take requests.
+func (p *Planner) Usable() int {
+	n := 0
+	for _, byZone := range p.zones {
+		for _, z := range byZone {
+			n += len(z.usable)
+		}
+	}
+	return n
+}
+
 // Age returns the time since the last update.
 func (p *Planner) Age(now request.Instant) time.Duration { return now.Sub(p.updated) }
 
--- /dev/null
+++ b/tree/tree_test.go
@@ -0,0 +1,77 @@
+package tree_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/tree"
+)
+
+// TestParent guards against a client that gets the rank of a running request by the form of its identifier, and against
+// calls that are not tied to their run.
+func TestParent(t *testing.T) {
+	c := qt.New(t)
+	runs := tree.NewRuns()
+	runs.Begin("9c41", tree.Run{Rank: 1})
+	run, id, ok := runs.Parent("9c41.2")
+	c.Check(ok, qt.IsTrue)
+	c.Check(id, qt.Equals, "9c41")
+	c.Check(run.Rank, qt.Equals, tree.Run{Rank: 1}.Rank)
+	for _, other := range []string{"9c41", "77aa.2", ".2", "", "9c41.2.1"} {
+		_, _, ok := runs.Parent(other)
+		c.Check(ok, qt.IsFalse, qt.Commentf("%q", other))
+	}
+	runs.End("9c41")
+	_, _, ok = runs.Parent("9c41.2")
+	c.Check(ok, qt.IsFalse)
+}
+
+// TestCost guards against calls that are left out of the cost of their tree or counted twice.
+func TestCost(t *testing.T) {
+	c := qt.New(t)
+	runs := tree.NewRuns()
+	runs.Begin("r", tree.Run{})
+	runs.AddCost("r", tree.Cost{"racedesk": 50 * time.Millisecond, "archives": 10 * time.Millisecond})
+	runs.AddCost("r", tree.Cost{"racedesk": 30 * time.Millisecond})
+	runs.AddCost("gone", tree.Cost{"racedesk": time.Hour})
+	cost, failed := runs.End("r")
+	c.Check(failed, qt.IsFalse)
+	c.Check(cost, qt.DeepEquals, tree.Cost{"racedesk": 80 * time.Millisecond, "archives": 10 * time.Millisecond})
+	c.Check(tree.DecodeCost(cost.Encode()), qt.DeepEquals, cost)
+	cost, failed = runs.End("r")
+	c.Check(len(cost), qt.Equals, 0)
+	c.Check(failed, qt.IsFalse)
+}
+
+// TestFailedCall guards against a failure of a call that is blamed on the backend server that made it.
+func TestFailedCall(t *testing.T) {
+	runs := tree.NewRuns()
+	runs.Begin("r", tree.Run{})
+	runs.Fail("r")
+	_, failed := runs.End("r")
+	qt.Check(t, failed, qt.IsTrue)
+}
+
+// TestDecodeCost guards against a node that fails on what it cannot read in an estimate of another node.
+func TestDecodeCost(t *testing.T) {
+	c := qt.New(t)
+	c.Check(tree.DecodeCost(""), qt.DeepEquals, tree.Cost{})
+	c.Check(tree.DecodeCost("a=5,b=x,c=-1,=,d"), qt.DeepEquals, tree.Cost{"a": 5 * time.Millisecond})
+}
+
+// TestCosts guards against a mean that does not follow a change of the calls that a route makes.
+func TestCosts(t *testing.T) {
+	c := qt.New(t)
+	costs := tree.NewCosts()
+	c.Check(costs.Of(1), qt.IsNil)
+	costs.Observe(1, tree.Cost{"a": 100 * time.Millisecond})
+	c.Check(costs.Of(1), qt.DeepEquals, tree.Cost{"a": 100 * time.Millisecond})
+	for range 300 {
+		costs.Observe(1, tree.Cost{"b": 10 * time.Millisecond})
+	}
+	got := costs.Of(1)
+	c.Check(got["a"] < time.Millisecond, qt.IsTrue, qt.Commentf("%v", got))
+	c.Check(got["b"] > 9*time.Millisecond, qt.IsTrue, qt.Commentf("%v", got))
+}
