placement: admit what services can carry, cut the fullest first, begin no hopeless trees

Returning clients were preferred beyond the planned share; two services cut one route twice; and while racedesk refused half of its requests, trees with eight calls there began and failed, or nothing at all was sent.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -127,14 +128,18 @@
 type mean struct {
 	value time.Duration
 	count int
+	last  request.Instant
 }
 
-// meanWeight is the weight of a new sample; 1/16 follows a change within some tens of completions.
-const meanWeight = 16
+// meanTime is the time over which durations are averaged: shorter, and the speed of a backend server seems to change with
+// the requests that it happens to get; longer, and one that turns slow is noticed late.
+const meanTime = time.Second
 
-func (m *mean) observe(d time.Duration) {
+func (m *mean) observe(now request.Instant, d time.Duration) {
 	m.count++
-	m.value += (d - m.value) / time.Duration(min(m.count, meanWeight))
+	weight := max(1/float64(m.count), 1-math.Exp(-now.Sub(m.last).Seconds()/meanTime.Seconds()))
+	m.last = now
+	m.value += time.Duration(weight * float64(d-m.value))
 }
 
 // New returns an open gate in front of a backend server with the given number of slots.
@@ -272,13 +277,13 @@
 	}
 	delete(g.running, n)
 	if isWhole {
-		g.held.observe(held)
+		g.held.observe(now, held)
 		m := g.times[route]
 		if m == nil {
 			m = &mean{}
 			g.times[route] = m
 		}
-		m.observe(held)
+		m.observe(now, held)
 	}
 	return g.fill(now)
 }
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -118,7 +118,7 @@
 func (n *Node) admitRoot(ctx context.Context, j *journey) *ingress.Response {
 	j.isReturn = n.rates.arrive(j.route.ID, j.left)
 	n.planMu.Lock()
-	ok := n.planner.Admit(j.route.ID, j.isReturn)
+	ok := n.planner.Admit(j.route.ID)
 	n.planMu.Unlock()
 	if ok {
 		return nil
--- a/placement/admission.go
+++ b/placement/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/sapphiretack/sapphiretack/request"
@@ -23,45 +24,69 @@
 }
 
 // Fractions returns the share of each route that the slots can carry. Routes are served in the order of their rank; routes
-// of one rank that share a full service are cut by the same factor.
+// of one rank that share a full service are cut by the same factor, the fullest service first, so that what one service
+// turns away does not count at the others.
 func Fractions(slots map[request.ServiceID]float64, demands []Demand) map[routing.RouteID]float64 {
-	left := make(map[request.ServiceID]float64, len(slots))
-	for s, n := range slots {
-		left[s] = n
-	}
+	left := maps.Clone(slots)
 	demands = slices.Clone(demands)
 	slices.SortFunc(demands, compareDemands)
 	out := make(map[routing.RouteID]float64, len(demands))
 	for begin := 0; begin < len(demands); {
 		end := begin
-		wanted := map[request.ServiceID]float64{}
 		for end < len(demands) && demands[end].Rank == demands[begin].Rank {
-			for s, held := range demands[end].Cost {
-				wanted[s] += demands[end].PerSecond * held.Seconds()
-			}
+			out[demands[end].Route] = 1
 			end++
 		}
-		for _, d := range demands[begin:end] {
-			out[d.Route] = fraction(d, left, wanted)
-		}
-		for _, d := range demands[begin:end] {
-			for s, held := range d.Cost {
-				left[s] = max(0, left[s]-out[d.Route]*d.PerSecond*held.Seconds())
+		group := demands[begin:end]
+		for range len(left) {
+			if !cutFullest(group, left, out) {
+				break
 			}
 		}
+		for s, wanted := range wantedSlots(group, out) {
+			left[s] = max(0, left[s]-wanted)
+		}
 		begin = end
 	}
 	return out
 }
 
-// fraction is the share that the tightest service of the route allows; services without a known size allow everything.
-func fraction(d Demand, left, wanted map[request.ServiceID]float64) float64 {
-	f := 1.0
-	for s, held := range d.Cost {
+// wantedSlots returns what the admitted shares of the demands need of each service.
+func wantedSlots(demands []Demand, shares map[routing.RouteID]float64) map[request.ServiceID]float64 {
+	wanted := map[request.ServiceID]float64{}
+	for _, d := range demands {
+		for s, held := range d.Cost {
+			wanted[s] += shares[d.Route] * d.PerSecond * held.Seconds()
+		}
+	}
+	return wanted
+}
+
+// tolerance ends the cuts when a service is full up to rounding.
+const tolerance = 1e-9
+
+// cutFullest cuts the routes that reach the service that is wanted most beyond its room, and reports whether there was one.
+// Services of unknown size allow everything.
+func cutFullest(group []Demand, left map[request.ServiceID]float64, shares map[routing.RouteID]float64) bool {
+	wanted := wantedSlots(group, shares)
+	var full request.ServiceID
+	factor := 1 - tolerance
+	for s, want := range wanted {
 		room, known := left[s]
-		if known && held > 0 && wanted[s] > room {
-			f = min(f, room/wanted[s])
+		if !known || want <= 0 {
+			continue
+		}
+		if f := room / want; f < factor || f == factor && s < full {
+			full, factor = s, f
+		}
+	}
+	if full == "" {
+		return false
+	}
+	for _, d := range group {
+		if d.Cost[full] > 0 {
+			shares[d.Route] *= factor
 		}
 	}
-	return f
+	return true
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -225,3 +225,47 @@
 	c.Check(high <= 2*time.Second, qt.IsTrue)
 	c.Check(high-low > 500*time.Millisecond, qt.IsTrue)
 }
+
+// TestGreyService replays a shared service whose backend servers all refuse half of their requests: trees with eight calls
+// there do not begin, and single requests still do.
+func TestGreyService(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	for i := range w.instances {
+		if w.instances[i].Service == "racedesk" {
+			w.instances[i].Failing = 55
+		}
+	}
+	w.rate("a", lookup, 20)
+	w.rate("a", arrival, 10)
+	p := w.planner("a")
+	c.Check(p.Fraction(lookup), qt.Equals, 0.0)
+	c.Check(p.Fraction(arrival), qt.Equals, 1.0)
+	_, ok := p.Root(arrival, "racedesk", w.routes[arrival].Cost, nil)
+	c.Check(ok, qt.IsTrue)
+}
+
+// TestFractionsAtTwoServices guards against a route that is cut at a second service for requests of another route that a
+// first service turns away.
+func TestFractionsAtTwoServices(t *testing.T) {
+	c := qt.New(t)
+	got := placement.Fractions(map[request.ServiceID]float64{"racedesk": 10, "archives": 100}, []placement.Demand{
+		{Route: 1, Rank: 2, PerSecond: 100, Cost: tree.Cost{"racedesk": time.Second, "archives": time.Second}},
+		{Route: 2, Rank: 2, PerSecond: 50, Cost: tree.Cost{"archives": time.Second}},
+	})
+	c.Check(got, qt.DeepEquals, map[routing.RouteID]float64{1: 0.1, 2: 1})
+}
+
+// TestQueues guards against a service that stays overloaded because its demand is underestimated.
+func TestQueues(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	w.rate("a", lookup, 220) // 97 of 102 slots of racedesk
+	before := w.planner("a").Fraction(lookup)
+	for i := range w.instances {
+		if w.instances[i].Service == "racedesk" {
+			w.instances[i].Load = 3000
+		}
+	}
+	c.Check(w.planner("a").Fraction(lookup) < 0.7*before, qt.IsTrue)
+}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -34,6 +34,10 @@
 	SlowShare float64
 	// MoveLoad is the use up to which a zone takes trees that are too slow elsewhere.
 	MoveLoad float64
+	// QueueGain turns queues beyond the slots of a service into a smaller capacity.
+	QueueGain float64
+	// LeastChance is the probability of success below which a tree does not begin.
+	LeastChance float64
 	// CallLoad is the load from which a call leaves the zone of its tree.
 	CallLoad float64
 	// FailingPercent is the share of failures from which an instance is avoided.
@@ -45,7 +49,7 @@
 // DefaultSettings returns the settings of the design.
 func DefaultSettings() Settings {
 	return Settings{
-		FilledShare: 0.92, KeepLoad: 0.75, SlowShare: 0.7, MoveLoad: 0.92, CallLoad: 1.6,
+		FilledShare: 0.92, KeepLoad: 0.75, SlowShare: 0.7, MoveLoad: 0.92, QueueGain: 0.3, LeastChance: 0.2, CallLoad: 1.6,
 		FailingPercent: 30, ProbeShare: 0.02,
 	}
 }
@@ -80,6 +84,8 @@
 	zoneNames []request.ZoneID
 	fractions map[routing.RouteID]float64
 	totals    map[request.ServiceID]float64 // use of each service on all zones
+	passing   map[request.ServiceID]float64 // share of attempts that the backend servers do not fail
+	usual     map[request.ServiceID]float64 // seconds for which a usual attempt holds a slot
 	moves     map[routing.RouteID]move
 	speed     float64 // of the own backend server
 	// sent counts attempts per instance since the last update, which the reported loads do not contain yet.
@@ -101,7 +107,10 @@
 	p.zoneNames = p.zoneNames[:0]
 	speeds := speedsOf(instances)
 	p.speed = 1
+	p.usual = usualTimes(instances)
 	seen := map[request.ZoneID]bool{}
+	best := leastFailing(instances)
+	failing, limits := map[request.ServiceID]float64{}, map[request.ServiceID]float64{}
 	for i, in := range instances {
 		if in.IsSelf {
 			p.speed = speeds[i]
@@ -114,27 +123,75 @@
 			p.zoneNames = append(p.zoneNames, in.Zone)
 		}
 		z := p.zoneOf(in.Service, in.Zone)
-		if in.Failing >= p.settings.FailingPercent {
+		if p.isAvoided(in, best[in.Service]) {
 			z.avoid = append(z.avoid, i)
 			continue
 		}
+		failing[in.Service] += float64(in.Failing) / 100 * float64(in.Limit)
+		limits[in.Service] += float64(in.Limit)
 		z.usable = append(z.usable, i)
 		z.limit += float64(in.Limit)
 		z.capacity += float64(in.Limit) * speeds[i]
 		z.load += float64(in.Load) / 1000 * float64(in.Limit)
 	}
 	capacity := map[request.ServiceID]float64{}
+	p.passing = map[request.ServiceID]float64{}
 	for s, byZone := range p.zones {
+		load := 0.0
 		for _, z := range byZone {
+			capacity[s] += z.capacity * p.settings.FilledShare
+			load += z.load
 			if z.limit > 0 {
 				z.load /= z.limit
 			}
-			capacity[s] += z.capacity * p.settings.FilledShare
+		}
+		if limits[s] > 0 {
+			p.passing[s] = 1 - failing[s]/limits[s]
+			// Queues beyond the slots show that the demand was underestimated.
+			capacity[s] /= 1 + p.settings.QueueGain*max(0, load/limits[s]-1)
 		}
 	}
 	p.plan(capacity, route)
 }
 
+// leastFailing returns the lowest share of failures among the instances of each service.
+func leastFailing(instances []fleet.Instance) map[request.ServiceID]uint8 {
+	out := map[request.ServiceID]uint8{}
+	for _, in := range instances {
+		if !in.IsFresh || in.Health != fleet.Serving || in.IsBroken {
+			continue
+		}
+		if f, ok := out[in.Service]; !ok || in.Failing < f {
+			out[in.Service] = in.Failing
+		}
+	}
+	return out
+}
+
+// isAvoided reports whether an instance fails much more than the best of its service. If all fail alike, avoiding them would
+// leave nothing.
+func (p *Planner) isAvoided(in fleet.Instance, best uint8) bool {
+	return in.Failing >= p.settings.FailingPercent && in.Failing >= best+p.settings.FailingPercent/2
+}
+
+// chance returns the probability that a tree of the route meets no failure of a backend server, from the number of its runs
+// at each service.
+func (p *Planner) chance(r Route) float64 {
+	chance := 1.0
+	for s, held := range r.Cost {
+		passing, known := p.passing[s]
+		if !known || passing >= 1 {
+			continue
+		}
+		runs := 1.0
+		if usual := p.usual[s]; usual > 0 {
+			runs = max(1, held.Seconds()/usual)
+		}
+		chance *= math.Pow(passing, runs)
+	}
+	return chance
+}
+
 // plan works out which share of each route is admitted, and what the admitted requests of each zone need.
 func (p *Planner) plan(capacity map[request.ServiceID]float64, route func(routing.RouteID) (Route, bool)) {
 	type key struct {
@@ -154,13 +211,24 @@
 	}
 	demands := make([]Demand, 0, len(total))
 	routes := map[routing.RouteID]Route{}
+	var hopeless []routing.RouteID
 	for id, rate := range total {
 		if r, ok := route(id); ok {
 			demands = append(demands, Demand{Route: id, Rank: r.Rank, PerSecond: rate, Cost: r.Cost})
 			routes[id] = r
 		}
 	}
+	for i := range demands {
+		// A tree that will almost surely fail wastes the work of all services above the failure.
+		if p.chance(routes[demands[i].Route]) < p.settings.LeastChance {
+			hopeless = append(hopeless, demands[i].Route)
+			demands[i].PerSecond = 0
+		}
+	}
 	p.fractions = Fractions(capacity, demands)
+	for _, r := range hopeless {
+		p.fractions[r] = 0
+	}
 	for k, rate := range byZone {
 		for s, held := range routes[k.route].Cost {
 			p.zoneOf(s, k.zone).demand += p.fractions[k.route] * rate * held.Seconds()
@@ -208,7 +276,7 @@
 	total := 0.0
 	for _, other := range p.zoneNames {
 		z := p.zones[tight][other]
-		if other == zone || z == nil || p.isSlow(r, other) {
+		if root := p.zones[r.Service][other]; other == zone || z == nil || root == nil || len(root.usable) == 0 || !p.isFaster(r, other, zone) {
 			continue
 		}
 		if room := p.settings.MoveLoad*z.capacity - z.demand; room > 0 {
@@ -234,12 +302,25 @@
 
 // isSlow reports whether a tree of the route takes more of its time in the zone than is safe.
 func (p *Planner) isSlow(r Route, zone request.ZoneID) bool {
+	return r.Bound > 0 && p.treeTime(r, zone) > p.settings.SlowShare*r.Bound.Seconds()
+}
+
+// isFaster reports whether a tree of the route takes clearly less time in one zone than in another. Queues make trees slow in
+// all zones alike, so only the comparison tells where the backend servers are slow.
+func (p *Planner) isFaster(r Route, zone, than request.ZoneID) bool {
+	return p.treeTime(r, zone)*fasterFactor < p.treeTime(r, than)
+}
+
+// fasterFactor is the ratio of times above which a zone is worth a move.
+const fasterFactor = 1.2
+
+// treeTime returns the seconds that a tree of the route takes in the zone, or 0 if that is not known.
+func (p *Planner) treeTime(r Route, zone request.ZoneID) float64 {
 	z := p.zones[r.Service][zone]
-	if z == nil || z.limit == 0 || r.Bound == 0 {
-		return false
+	if z == nil || z.capacity == 0 {
+		return 0
 	}
-	speed := z.capacity / z.limit
-	return r.Cost[r.Service].Seconds()/speed > p.settings.SlowShare*r.Bound.Seconds()
+	return r.Cost[r.Service].Seconds() * z.limit / z.capacity
 }
 
 // pickMove returns the zone that a moved request goes to.
@@ -257,6 +338,21 @@
 	return best, true
 }
 
+// usualTimes returns the mean time for which a usual attempt holds a slot of each service.
+func usualTimes(instances []fleet.Instance) map[request.ServiceID]float64 {
+	sum, count := map[request.ServiceID]float64{}, map[request.ServiceID]float64{}
+	for _, in := range instances {
+		if in.IsFresh && in.UsualTime > 0 {
+			sum[in.Service] += in.UsualTime.Seconds() * float64(in.Limit)
+			count[in.Service] += float64(in.Limit)
+		}
+	}
+	for s := range sum {
+		sum[s] /= count[s]
+	}
+	return sum
+}
+
 // speedBounds bound the speed of one backend server relative to the others of its service.
 const minSpeed, maxSpeed = 0.25, 4.0
 
@@ -334,12 +430,10 @@
 	return 1
 }
 
-// Admit reports whether a new request of the route may begin. A client that returns after a refusal is preferred.
-func (p *Planner) Admit(r routing.RouteID, isReturn bool) bool {
+// Admit reports whether a new request of the route may begin. Clients that return after a refusal are part of the rate that
+// the share was worked out for; to prefer them would admit more than the services can carry.
+func (p *Planner) Admit(r routing.RouteID) bool {
 	f := p.Fraction(r)
-	if isReturn {
-		f = 1 - (1-f)*(1-f)
-	}
 	return f >= 1 || p.random.Float64() < f
 }
 
--- a/tree/cost.go
+++ b/tree/cost.go
@@ -51,8 +51,8 @@
 	return c
 }
 
-// costWeight is the weight of a new sample in the mean; 1/32 follows a change within about a second of traffic.
-const costWeight = 32
+// costWeight is the number of samples in the mean; 64 follow a change within a few seconds of traffic.
+const costWeight = 64
 
 // Costs holds the mean cost of each route; it is not safe for concurrent use.
 type Costs struct {
