--- a/ingress/server.go
+++ b/ingress/server.go
@@ -68,11 +68,12 @@
 	listener    net.Listener
 	connections map[*connection]struct{}
 	isClosed    bool
+	done        chan struct{}
 }
 
 // New returns a server that has not started.
 func New(s Settings) *Server {
-	return &Server{settings: s, connections: map[*connection]struct{}{}}
+	return &Server{settings: s, connections: map[*connection]struct{}{}, done: make(chan struct{})}
 }
 
 // Serve accepts connections until Close; the error is that of the listener.
@@ -88,6 +89,7 @@
 		conn, err := l.Accept()
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
+				<-s.done
 				return nil
 			}
 			s.settings.Log.Warn().Err(err).Msg("cannot accept a connection")
@@ -126,6 +128,15 @@
 // Drain announces the end of each connection with its next response.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// StopAccepting refuses new connections; those that are open go on.
+func (s *Server) StopAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+}
+
 // CloseIdle closes the connections that wait for a request.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
@@ -150,11 +161,12 @@
 
 // Close ends the listener and all connections.
 func (s *Server) Close() {
+	s.StopAccepting()
 	s.mu.Lock()
-	s.isClosed = true
-	if s.listener != nil {
-		_ = s.listener.Close()
+	if !s.isClosed {
+		close(s.done)
 	}
+	s.isClosed = true
 	for c := range s.connections {
 		c.stop()
 	}
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -231,3 +231,23 @@
 	fmt.Fprint(conn, "ok")
 	c.Check(readBody(c, r), qt.Equals, "ok")
 }
+
+// TestStopAccepting guards against a stopping server that takes requests until its end and then breaks them off.
+func TestStopAccepting(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	began := make(chan struct{})
+	s, conn := serve(c, func(context.Context, *http.Request) *ingress.Response {
+		close(began)
+		<-release
+		return text("ok")
+	})
+	fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	<-began
+	s.Drain()
+	s.StopAccepting()
+	_, err := net.Dial("tcp4", conn.RemoteAddr().String())
+	c.Check(err, qt.IsNotNil)
+	close(release)
+	c.Check(readBody(c, bufio.NewReader(conn)), qt.Equals, "ok")
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -231,8 +231,9 @@
 const (
 	// drainInterval is the time between two checks whether requests are in flight.
 	drainInterval = 20 * time.Millisecond
-	// idleDelay is how long kept connections stay open after SIGTERM, so that clients see the readiness change first.
-	idleDelay = 3 * time.Second
+	// intakeTime is how long requests are taken after SIGTERM, while clients learn from the readiness that the node stops.
+	// What is taken later may not complete within the stop time.
+	intakeTime = 2500 * time.Millisecond
 	// stopMargin is the part of the stop time that is left for the end of the process.
 	stopMargin = 500 * time.Millisecond
 )
@@ -247,9 +248,10 @@
 	limit := n.settings.StopTime - stopMargin
 	for time.Since(begin) < limit {
 		time.Sleep(drainInterval)
-		if time.Since(begin) < idleDelay {
+		if time.Since(begin) < min(intakeTime, limit/2) {
 			continue
 		}
+		n.ingress.StopAccepting()
 		n.ingress.CloseIdle()
 		if n.ingress.Active() == 0 && n.backend.active() == 0 {
 			break
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -269,3 +269,42 @@
 	}
 	c.Check(w.planner("a").Fraction(lookup) < 0.7*before, qt.IsTrue)
 }
+
+// TestMissingService replays a zone that has lost the only instance of a service in the middle of the trees: trees that begin
+// there would load other zones unplanned.
+func TestMissingService(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	for i := range w.instances {
+		if w.instances[i].Zone == "a" && w.instances[i].Service == "racedesk" {
+			w.instances[i].Health = fleet.Down
+		}
+	}
+	for _, z := range []request.ZoneID{"a", "b", "c"} {
+		w.rate(z, lookup, 20)
+	}
+	got := w.zones(w.planner("a"), lookup)
+	c.Check(got["a"], qt.Equals, 0)
+	c.Check(got["b"] > trials/3 && got["c"] > trials/3, qt.IsTrue, qt.Commentf("%v", got))
+}
+
+// TestCallLeavesFullZone replays calls at a full instance while that of another zone is idle.
+func TestCallLeavesFullZone(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	for i := range w.instances {
+		if w.instances[i].Zone == "a" && w.instances[i].Service == "racedesk" {
+			w.instances[i].Load = 2000
+		}
+	}
+	p := w.planner("a")
+	moved := 0
+	for range 20 {
+		target, ok := p.Call("racedesk", nil)
+		c.Assert(ok, qt.IsTrue)
+		if target.Zone != "a" {
+			moved++
+		}
+	}
+	c.Check(moved > 10, qt.IsTrue, qt.Commentf("%d of 20", moved))
+}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -49,7 +49,7 @@
 // DefaultSettings returns the settings of the design.
 func DefaultSettings() Settings {
 	return Settings{
-		FilledShare: 0.92, KeepLoad: 0.75, SlowShare: 0.7, MoveLoad: 0.92, QueueGain: 0.3, LeastChance: 0.2, CallLoad: 1.6,
+		FilledShare: 0.92, KeepLoad: 0.75, SlowShare: 0.7, MoveLoad: 0.92, QueueGain: 0.3, LeastChance: 0.2, CallLoad: 1.2,
 		FailingPercent: 30, ProbeShare: 0.02,
 	}
 }
@@ -300,15 +300,29 @@
 	}
 }
 
-// isSlow reports whether a tree of the route takes more of its time in the zone than is safe.
+// isSlow reports whether a tree of the route should not run in the zone: it takes more of its time there than is safe, or one
+// of its services is missing there, so that its calls leave the zone and load others than those that are planned for it.
 func (p *Planner) isSlow(r Route, zone request.ZoneID) bool {
-	return r.Bound > 0 && p.treeTime(r, zone) > p.settings.SlowShare*r.Bound.Seconds()
+	return !p.hasAll(r, zone) || r.Bound > 0 && p.treeTime(r, zone) > p.settings.SlowShare*r.Bound.Seconds()
+}
+
+// hasAll reports whether all services of a route have an instance in the zone.
+func (p *Planner) hasAll(r Route, zone request.ZoneID) bool {
+	for s := range r.Cost {
+		if z := p.zones[s][zone]; z == nil || len(z.usable) == 0 {
+			return false
+		}
+	}
+	return true
 }
 
 // isFaster reports whether a tree of the route takes clearly less time in one zone than in another. Queues make trees slow in
 // all zones alike, so only the comparison tells where the backend servers are slow.
 func (p *Planner) isFaster(r Route, zone, than request.ZoneID) bool {
-	return p.treeTime(r, zone)*fasterFactor < p.treeTime(r, than)
+	if !p.hasAll(r, zone) {
+		return false
+	}
+	return !p.hasAll(r, than) || p.treeTime(r, zone)*fasterFactor < p.treeTime(r, than)
 }
 
 // fasterFactor is the ratio of times above which a zone is worth a move.
@@ -524,7 +538,7 @@
 func (p *Planner) Call(service request.ServiceID, excluded []netip.Addr) (Target, bool) {
 	zone := p.zone
 	if own := p.loadOf(service, zone); own > p.settings.CallLoad && !math.IsInf(own, 1) {
-		if best := p.bestLoad(service); best < 1 && p.random.Float64() < (own-best)/own/2 {
+		if best := p.bestLoad(service); best < 1 && p.random.Float64() < (own-best)/own {
 			zone = p.leastLoaded(service)
 		}
 	}
