--- a/tree/cost.go
+++ b/tree/cost.go
@@ -20,7 +20,10 @@
 	}
 }
 
-// Encode returns the cost as "service=milliseconds" separated by commas, in the order of the services.
+// costUnit is the precision of an encoded cost; calls of some milliseconds add up to the cost of a tree.
+const costUnit = 100 * time.Microsecond
+
+// Encode returns the cost as "service=tenths of a millisecond" separated by commas, in the order of the services.
 func (c Cost) Encode() string {
 	services := make([]string, 0, len(c))
 	for s := range c {
@@ -34,7 +37,7 @@
 		}
 		b.WriteString(s)
 		b.WriteByte('=')
-		b.WriteString(strconv.FormatInt(c[request.ServiceID(s)].Milliseconds(), 10))
+		b.WriteString(strconv.FormatInt(int64((c[request.ServiceID(s)]+costUnit/2)/costUnit), 10))
 	}
 	return b.String()
 }
@@ -44,8 +47,8 @@
 	c := Cost{}
 	for part := range strings.SplitSeq(text, ",") {
 		service, value, _ := strings.Cut(part, "=")
-		if ms, err := strconv.ParseInt(value, 10, 32); err == nil && ms >= 0 {
-			c[request.ServiceID(service)] += time.Duration(ms) * time.Millisecond
+		if units, err := strconv.ParseInt(value, 10, 32); err == nil && units >= 0 {
+			c[request.ServiceID(service)] += time.Duration(units) * costUnit
 		}
 	}
 	return c
