platform: implement the product's table over the rows of the platform

One client and one protocol remain: platform.Store implements store.Table and store.Objects over the platform's rows and objects, and the stand-in platform speaks that protocol, with a feed of changes.

--- a/cmd/sapphiretack/mesh.go
+++ b/cmd/sapphiretack/mesh.go
@@ -54,9 +54,13 @@
 	// net/http reports what backend servers do wrong through the standard logger, which would block and has no bound.
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(libraryLog{log})
+	client, err := platform.NewStore("http://"+s.Store, 0)
+	if err != nil {
+		return err
+	}
 	reload := make(chan mesh.Settings)
 	n := mesh.New(mesh.Dependencies{
-		Settings: s.Node, Dialect: platform.Headers{}, Directory: platform.NewDirectory(platform.NewStore(s.Store)),
+		Settings: s.Node, Dialect: platform.Headers{}, Directory: platform.NewDirectory(client),
 		Log: log, Control: platform.ControlHandler, Ready: platform.ReadyHandler, Reload: reload,
 	})
 	var group run.Group
--- a/cmd/sapphiretack/node.go
+++ b/cmd/sapphiretack/node.go
@@ -11,9 +11,9 @@
 	"github.com/zeebo/errs"
 
 	"github.com/sapphiretack/sapphiretack/node"
+	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/settings"
-	"github.com/sapphiretack/sapphiretack/store"
 	"github.com/sapphiretack/sapphiretack/trace"
 )
 
@@ -30,7 +30,7 @@
 	debug.SetMemoryLimit(memoryLimit)
 	zerolog.SetGlobalLevel(s.Log.Level)
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
-	table, err := store.NewClient(store.Settings{URL: s.Platform.URL, Timeout: s.Platform.Timeout})
+	table, err := platform.NewStore(s.Platform.URL, s.Platform.Timeout)
 	if err != nil {
 		return err
 	}
--- a/configuration/store_test.go
+++ b/configuration/store_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/sapphiretack/sapphiretack/configuration"
+	"github.com/sapphiretack/sapphiretack/platform"
 	"github.com/sapphiretack/sapphiretack/standin"
 	"github.com/sapphiretack/sapphiretack/store"
 	"github.com/sapphiretack/sapphiretack/template"
@@ -165,7 +166,7 @@
 func TestLargestDocuments(t *testing.T) {
 	server := httptest.NewServer(standin.NewPlatform().Handler())
 	defer server.Close()
-	client, err := store.NewClient(store.Settings{URL: server.URL})
+	client, err := platform.NewStore(server.URL, 0)
 	qt.Assert(t, err, qt.IsNil)
 	s := configuration.New(client)
 	document := append([]byte(templateDocument), bytes.Repeat([]byte(" "), template.MaxDocumentBytes-len(templateDocument))...)
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,11 +1,13 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -44,7 +46,7 @@
 	Rows    int `json:"rows"` // present
 }
 
-// Platform is a stand-in for the platform's table and object store.
+// Platform is a stand-in for the platform's store: rows with versions, a feed of changes, and objects.
 type Platform struct {
 	fake  *store.Fake
 	slots chan struct{}
@@ -52,23 +54,71 @@
 	mu     sync.Mutex
 	faults PlatformFaults
 	stats  PlatformStats
+
+	// commitMu makes the order of the changes that of their versions.
+	commitMu sync.Mutex
+	changes  []platformChange
+	changed  chan struct{}
+}
+
+// platformChange is a row that was set or removed.
+type platformChange struct {
+	row     platformRow
+	version store.Revision
+}
+
+// platformRow is a row on the wire.
+type platformRow struct {
+	Table   string         `json:"table"`
+	Part    string         `json:"part"`
+	Key     string         `json:"key"`
+	Value   []byte         `json:"value,omitempty"`
+	Version store.Revision `json:"ver"`
+	Deleted bool           `json:"deleted,omitempty"`
+}
+
+// platformTransaction is the body of a transaction.
+type platformTransaction struct {
+	Conditions []platformRow `json:"precondition"`
+	Set        []platformRow `json:"set_keys"`
+	Remove     []platformRow `json:"remove"`
+	Across     bool          `json:"across"`
 }
 
+// platformPage is the answer about rows.
+type platformPage struct {
+	Rows    []platformRow  `json:"rows"`
+	More    bool           `json:"has_more"`
+	Version store.Revision `json:"ver"`
+	NowMs   int64          `json:"now_ms"`
+}
+
+const (
+	maxPlatformBody = 8 << 20
+	maxPlatformRows = 500
+	// maxPlatformPage is the size of the values from which a page ends.
+	maxPlatformPage = 1 << 20
+	// maxPlatformHistory is the number of changes that the feed keeps.
+	maxPlatformHistory = 10_000
+	// maxPlatformWait bounds a wait for changes, in milliseconds.
+	maxPlatformWait = 30_000
+)
+
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
-	p := &Platform{fake: store.NewFake(), slots: make(chan struct{}, maxPlatformRequests)}
+	p := &Platform{fake: store.NewFake(), slots: make(chan struct{}, maxPlatformRequests), changed: make(chan struct{})}
 	p.fake.Inject(p.fault)
 	return p
 }
 
-// Handler serves the protocol of package platform and the administration.
+// Handler serves the platform's protocol and the administration.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+store.ReadPath, p.bounded(p.serveRead))
-	mux.HandleFunc("POST "+store.ScanPath, p.bounded(p.serveScan))
-	mux.HandleFunc("POST "+store.CommitPath, p.bounded(p.serveCommit))
-	mux.HandleFunc("GET "+store.ObjectPath+"{name}", p.bounded(p.serveGet))
-	mux.HandleFunc("PUT "+store.ObjectPath+"{name}", p.bounded(p.servePut))
+	mux.HandleFunc("GET /-/rows-get", p.bounded(p.serveGetRows))
+	mux.HandleFunc("GET /-/rows-feed", p.bounded(p.serveFeed))
+	mux.HandleFunc("POST /-/rows-tx", p.bounded(p.serveTransaction))
+	mux.HandleFunc("GET /-/blob-get/{name}", p.bounded(p.serveGet))
+	mux.HandleFunc("PUT /-/blob-put/{name}", p.bounded(p.servePut))
 	mux.HandleFunc("GET "+PlatformFaultsPath, p.serveFaults)
 	mux.HandleFunc("PUT "+PlatformFaultsPath, p.setFaults)
 	mux.HandleFunc("GET "+PlatformStatsPath, p.serveStats)
@@ -129,9 +179,9 @@
 			writePlatformError(w, store.Unavailable.New("%d requests are in flight; send it again later", maxPlatformRequests))
 			return
 		}
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxBodyBytes))
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPlatformBody))
 		if err != nil {
-			writePlatformError(w, store.Refused.New("the body cannot be read: %v; send at most %d bytes", err, store.MaxBodyBytes))
+			writePlatformError(w, store.Refused.New("the body cannot be read: %v; send at most %d bytes", err, maxPlatformBody))
 			return
 		}
 		// A change takes effect also when its client has gone, as at a remote service.
@@ -141,33 +191,141 @@
 	}
 }
 
-func (p *Platform) serveRead(w http.ResponseWriter, r *http.Request, body []byte) error {
-	var request store.ReadRequest
-	if err := store.DecodeStrict(body, &request); err != nil {
-		return err
+// key returns where a row lies in the fake.
+func (r platformRow) key() store.Key { return store.Key(r.Table + "\x00" + r.Part + "\x00" + r.Key) }
+
+func (p *Platform) serveGetRows(w http.ResponseWriter, r *http.Request, _ []byte) error {
+	query := r.URL.Query()
+	limit := maxPlatformRows
+	if text := query.Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 {
+			return store.Refused.New("limit %q is no positive number", text)
+		}
+		limit = min(n, maxPlatformRows)
+	}
+	base := platformRow{Table: query.Get("table"), Part: query.Get("part")}
+	prefix := base.key()
+	after := prefix + store.Key(query.Get("from"))
+	out := platformPage{Rows: []platformRow{}, NowMs: time.Now().UnixMilli()}
+	size := 0
+	for {
+		p.commitMu.Lock()
+		out.Version = p.fake.Last()
+		rows, err := p.fake.Scan(r.Context(), prefix, beforeKey(after), store.MaxRows)
+		p.commitMu.Unlock()
+		if err != nil {
+			return err
+		}
+		for _, found := range rows {
+			key := string(found.Key[len(prefix):])
+			if end := query.Get("target"); end != "" && key >= end {
+				return writePlatformJSON(w, http.StatusOK, out)
+			}
+			if len(out.Rows) == limit || size >= maxPlatformPage {
+				out.More = true
+				return writePlatformJSON(w, http.StatusOK, out)
+			}
+			size += len(found.Value)
+			out.Rows = append(out.Rows, platformRow{Table: base.Table, Part: base.Part, Key: key, Value: found.Value, Version: found.Revision})
+		}
+		if len(rows) == 0 {
+			return writePlatformJSON(w, http.StatusOK, out)
+		}
+		after = rows[len(rows)-1].Key + "\x00"
 	}
-	rows, err := p.fake.Read(r.Context(), request.Keys)
-	return writeRows(w, rows, err)
 }
 
-func (p *Platform) serveScan(w http.ResponseWriter, r *http.Request, body []byte) error {
-	var request store.ScanRequest
-	if err := store.DecodeStrict(body, &request); err != nil {
-		return err
+// beforeKey returns a key behind all that are smaller than the given one, since a scan begins behind its key.
+func beforeKey(k store.Key) store.Key {
+	if n := len(k); k[n-1] == 0 {
+		return k[:n-1]
 	}
-	rows, err := p.fake.Scan(r.Context(), request.Prefix, request.After, request.Limit)
-	return writeRows(w, rows, err)
+	return k[:len(k)-1] + store.Key([]byte{k[len(k)-1] - 1}) + "\xff\xff\xff\xff"
 }
 
-func (p *Platform) serveCommit(w http.ResponseWriter, r *http.Request, body []byte) error {
-	var t store.Transaction
-	if err := store.DecodeStrict(body, &t); err != nil {
+func (p *Platform) serveTransaction(w http.ResponseWriter, r *http.Request, body []byte) error {
+	var t platformTransaction
+	if err := decodeStrict(body, &t); err != nil {
 		return err
 	}
-	if err := p.fake.Commit(r.Context(), t); err != nil {
+	var out store.Transaction
+	for _, c := range t.Conditions {
+		out.Conditions = append(out.Conditions, store.Condition{Key: c.key(), Revision: c.Version})
+	}
+	for _, set := range t.Set {
+		out.Writes = append(out.Writes, store.Write{Key: set.key(), Value: set.Value})
+	}
+	for _, removed := range t.Remove {
+		out.Writes = append(out.Writes, store.Write{Key: removed.key(), Delete: true})
+	}
+	p.commitMu.Lock()
+	defer p.commitMu.Unlock()
+	before := p.fake.Last()
+	err := p.fake.Commit(r.Context(), out)
+	if version := p.fake.Last(); version != before {
+		p.record(t, version)
+	}
+	if err != nil {
 		return err
 	}
-	return writePlatformJSON(w, http.StatusOK, struct{}{})
+	return writePlatformJSON(w, http.StatusOK, platformPage{Version: p.fake.Last(), NowMs: time.Now().UnixMilli()})
+}
+
+// record adds a transaction to the history and wakes those that wait for changes; the caller holds commitMu.
+func (p *Platform) record(t platformTransaction, version store.Revision) {
+	for _, set := range t.Set {
+		set.Version = version
+		p.changes = append(p.changes, platformChange{set, version})
+	}
+	for _, removed := range t.Remove {
+		removed.Version, removed.Deleted = version, true
+		p.changes = append(p.changes, platformChange{removed, version})
+	}
+	p.changes = p.changes[max(0, len(p.changes)-maxPlatformHistory):]
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// serveFeed returns the changes of a table after a version, as soon as there is one.
+func (p *Platform) serveFeed(w http.ResponseWriter, r *http.Request, _ []byte) error {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		return store.Refused.New("after %q is no version", query.Get("after"))
+	}
+	wait, err := strconv.Atoi(query.Get("wait_ms"))
+	if err != nil || wait < 0 || wait > maxPlatformWait {
+		return store.Refused.New("wait_ms %q is out of range", query.Get("wait_ms"))
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		if fault := p.fault(r.Context(), store.ReadOperation); fault != store.NoFault && fault != store.StaleRead {
+			return store.Unavailable.New("the platform is down")
+		}
+		out, changed := p.changesAfter(query.Get("table"), store.Revision(after))
+		if len(out.Rows) > 0 {
+			return writePlatformJSON(w, http.StatusOK, out)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return writePlatformJSON(w, http.StatusOK, out)
+		}
+	}
+}
+
+func (p *Platform) changesAfter(table string, after store.Revision) (platformPage, <-chan struct{}) {
+	p.commitMu.Lock()
+	defer p.commitMu.Unlock()
+	out := platformPage{Rows: []platformRow{}, Version: p.fake.Last(), NowMs: time.Now().UnixMilli()}
+	for _, c := range p.changes {
+		if c.row.Table == table && c.version > after {
+			out.Rows = append(out.Rows, c.row)
+		}
+	}
+	return out, p.changed
 }
 
 func (p *Platform) serveGet(w http.ResponseWriter, r *http.Request, _ []byte) error {
@@ -201,7 +359,7 @@
 		return
 	}
 	var faults PlatformFaults
-	if err := store.DecodeStrict(body, &faults); err != nil {
+	if err := decodeStrict(body, &faults); err != nil {
 		writePlatformError(w, err)
 		return
 	}
@@ -231,13 +389,6 @@
 	_ = writePlatformJSON(w, http.StatusOK, stats)
 }
 
-func writeRows(w http.ResponseWriter, rows []store.Row, err error) error {
-	if err != nil {
-		return err
-	}
-	return writePlatformJSON(w, http.StatusOK, store.RowsResponse{Rows: rows})
-}
-
 func writePlatformJSON(w http.ResponseWriter, status int, v any) error {
 	data, err := json.Marshal(v)
 	if err != nil {
@@ -256,17 +407,37 @@
 	case store.Indeterminate.Has(err):
 		panic(http.ErrAbortHandler)
 	case store.ConditionFailed.Has(err):
-		status, kind = http.StatusConflict, store.KindConditionFailed
+		status, kind = http.StatusPreconditionFailed, "condition_failed"
 	case store.Unavailable.Has(err):
-		status, kind = http.StatusServiceUnavailable, store.KindUnavailable
+		status, kind = http.StatusServiceUnavailable, "unavailable"
 	case store.Refused.Has(err):
-		status, kind = http.StatusBadRequest, store.KindRefused
+		status, kind = http.StatusBadRequest, "refused"
 	case store.NotFound.Has(err):
-		status, kind = http.StatusNotFound, store.KindNotFound
+		status, kind = http.StatusNotFound, "not_found"
 	}
 	message := err.Error()
 	if cause := errors.Unwrap(err); cause != nil {
 		message = cause.Error()
 	}
-	_ = writePlatformJSON(w, status, store.ErrorResponse{Kind: kind, Message: message, Remedy: "see package platform"})
+	_ = writePlatformJSON(w, status, platformError{Kind: kind, Message: message, Remedy: "see package platform"})
+}
+
+// platformError is the body of an answer to a request that was not carried out.
+type platformError struct {
+	Kind    string `json:"kind"`
+	Message string `json:"message"`
+	Remedy  string `json:"remedy"`
+}
+
+// decodeStrict reads one JSON value into v and refuses unknown fields and trailing text.
+func decodeStrict(data []byte, v any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		return store.Refused.New("the body is not valid: %v; see package platform for the protocol", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return store.Refused.New("there is text after the body; send one JSON value")
+	}
+	return nil
 }
--- a/store/doc.go
+++ b/store/doc.go
@@ -1,5 +1,5 @@
-// Package store is the client of the platform's transactional table and
-// object store, the only services that keep state.
+// Package store is the product's view of the transactional table and the
+// object store of a platform, the only services that keep state.
 //
 // A transaction is applied whole or not at all. Its conditions name the
 // revision that a row must still have; a row that does not exist has revision 0:
@@ -18,6 +18,6 @@
 //	case store.Indeterminate.Has(err):   // may have been applied: read back
 //	}
 //
-// Client speaks the JSON protocol over HTTP. Fake is an in-memory platform with
-// scripted faults for tests, and the base of the stand-in platform.
+// Package platform implements Table and Objects over the users' platform. Fake is an
+// in-memory store with scripted faults for tests, and the base of the stand-in platform.
 package store
--- a/store/fake.go
+++ b/store/fake.go
@@ -89,6 +89,13 @@
 	f.delayed = nil
 }
 
+// Last returns the revision of the newest transaction.
+func (f *Fake) Last() Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.last
+}
+
 // Len returns the number of rows.
 func (f *Fake) Len() int {
 	f.mu.Lock()
@@ -248,6 +255,8 @@
 	}
 }
 
+func hasPrefix(k, prefix Key) bool { return len(k) >= len(prefix) && k[:len(prefix)] == prefix }
+
 func (s *state) scan(prefix, after Key, limit int) []Row {
 	i, found := slices.BinarySearch(s.keys, max(prefix, after))
 	if found && s.keys[i] == after {
--- a/store/table.go
+++ b/store/table.go
@@ -29,8 +29,6 @@
 	MaxWrites     = 256 // writes, and conditions, in one Transaction
 	// MaxPageBytes bounds the values of one Scan; a page that reaches it ends early and holds at least one row.
 	MaxPageBytes = 4 << 20
-	// MaxBodyBytes bounds a request or response body; it holds MaxPageBytes in base64 and the keys.
-	MaxBodyBytes = 8 << 20
 )
 
 // Key is the key of a row; keys are ordered by their bytes.
