logs: tell from logs what happened to one request

sapphiretack story reads the logs of several nodes and prints the lines of a request and its calls in order, with the cause of its end.

--- a/cmd/sapphiretack/main.go
+++ b/cmd/sapphiretack/main.go
@@ -63,7 +63,7 @@
 	var output outputFlags
 	commands := []command{nodeCommand(parser, &output), meshCommand(parser, &output), checkCommand(parser, &output)}
 	commands = append(commands, configurationCommands(parser, &output)...)
-	commands = append(commands, statusCommand(parser, &output), explainCommand(parser, &output))
+	commands = append(commands, statusCommand(parser, &output), explainCommand(parser, &output), storyCommand(parser, &output))
 	if err := parser.Parse(); err != nil {
 		fmt.Fprintln(os.Stderr, "sapphiretack:", err)
 		os.Exit(exitUsage)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -172,3 +173,32 @@
 		}
 	})
 }
+
+// BenchmarkRound measures one round of messages and decisions in a fleet of the given size; docs/CAPACITY.md has the figures.
+func BenchmarkRound(b *testing.B) {
+	for _, n := range []int{12, 85, 300, 2800} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := newTable(0)
+			var entries []fleet.Entry
+			for i := 1; i < n; i++ {
+				e := entry(i, 1, 1)
+				e.Service = request.ServiceID(fmt.Sprint("service", i%74))
+				e.Rates = []fleet.Rate{{Route: 1, PerSecond: 3}, {Route: 2, PerSecond: 1}, {Route: 3, PerSecond: 1}, {Route: 4, PerSecond: 1}}
+				entries = append(entries, e)
+			}
+			table.Merge(0, entries)
+			bytes, messages := 0, 0
+			for b.Loop() {
+				table.Renew(0, fleet.Entry{Incarnation: 1, Health: fleet.Serving})
+				for _, m := range table.Messages(0) {
+					data, err := fleet.Encode(m.Entries)
+					qt.Assert(b, err, qt.IsNil)
+					bytes += len(data)
+					messages++
+				}
+				_ = table.Snapshot(0)
+			}
+			b.ReportMetric(float64(bytes)/float64(messages), "B/message")
+		})
+	}
+}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -308,3 +308,30 @@
 	}
 	c.Check(moved > 10, qt.IsTrue, qt.Commentf("%d of 20", moved))
 }
+
+// BenchmarkUpdate measures the planning of one round in a fleet of the given size; docs/CAPACITY.md has the figures.
+func BenchmarkUpdate(b *testing.B) {
+	for _, n := range []int{12, 85, 300, 2800} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			instances := make([]fleet.Instance, n)
+			routes := map[routing.RouteID]placement.Route{}
+			for i := range instances {
+				service := request.ServiceID(fmt.Sprint("service", i%74))
+				route := routing.RouteID(i % 74)
+				routes[route] = placement.Route{Rank: routing.Rank(i % 3), Service: service, Bound: time.Second, Cost: tree.Cost{service: 100 * time.Millisecond, "service1": 50 * time.Millisecond}}
+				instances[i] = fleet.Instance{IsFresh: true, Entry: fleet.Entry{
+					Address: netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), Zone: request.ZoneID(fmt.Sprint("zone", i%16)), Service: service,
+					Health: fleet.Serving, Limit: 100, UsualRoute: route, UsualTime: 50 * time.Millisecond,
+					Rates: []fleet.Rate{{Route: route, PerSecond: 3}, {Route: (route + 1) % 74, PerSecond: 2}},
+				}}
+			}
+			p := placement.New(placement.DefaultSettings(), "zone1", rand.New(rand.NewPCG(1, 2)))
+			for b.Loop() {
+				p.Update(0, instances, func(r routing.RouteID) (placement.Route, bool) {
+					route, ok := routes[r]
+					return route, ok
+				})
+			}
+		})
+	}
+}
