--- a/mesh/world_test.go
+++ b/mesh/world_test.go
@@ -116,6 +116,11 @@
 
 func newWorld(t *testing.T, c *routing.Configuration) *world {
 	t.Parallel()
+	return newBenchWorld(t, c)
+}
+
+// newBenchWorld returns a world that does not run beside others.
+func newBenchWorld(t testing.TB, c *routing.Configuration) *world {
 	w := &world{c: qt.New(t), directory: newDirectory(), ports: map[string]uint16{}, network: byte(worlds.Add(1))}
 	w.directory.set(c)
 	for i, name := range []string{"outbound", "inbound", "gossip", "ready", "control", "application"} {
