--- a/logs/story.go
+++ b/logs/story.go
@@ -99,8 +99,13 @@
 		name  string
 		value float64
 	}{
-		{"status", float64(l.Status)}, {"elapsed_ms", l.Elapsed}, {"took_ms", l.Took}, {"wait_ms", l.Wait},
-		{"retry_after_ms", l.RetryAfter}, {"plan_age_ms", l.PlanAge}, {"config_version", float64(l.Version)},
+		{"status", float64(l.Status)},
+		{"elapsed_ms", l.Elapsed},
+		{"took_ms", l.Took},
+		{"wait_ms", l.Wait},
+		{"retry_after_ms", l.RetryAfter},
+		{"plan_age_ms", l.PlanAge},
+		{"config_version", float64(l.Version)},
 	} {
 		if field.value != 0 {
 			fmt.Fprintf(&b, " %s=%.0f", field.name, field.value)
