--- a/gate/doc.go
+++ b/gate/doc.go
@@ -13,6 +13,6 @@
 //	for _, action := range g.Finish(now, a.Number, held) { ... }
 //
 // The load patterns that it answers: a queue in front of a full backend server in which work of all ranks waits (order by
-// rank, calls of running requests first), waits that outlast the deadline (entries that cannot complete are dropped before
+// rank, and calls of running requests before new requests of their rank), waits that outlast the deadline (entries that cannot complete are dropped before
 // they run), and a surge of arrivals (a full queue drops its least important entry).
 package gate
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -10,5 +10,7 @@
 //	n, err := mesh.New(mesh.Dependencies{Settings: s, Dialect: dialect, Directory: directory, Log: log})
 //	err = n.Run(ctx)
 //
-// Lock order: planner, fleet, gate, budget. No lock is held during input or output.
+// Lock order: the lock of the rounds first, then at most one of those of the gate, the fleet, the planner and the retry
+// allowance at a time; that of the failure counts is taken under that of the gate. No lock is held during input or output,
+// but for the datagrams of a round.
 package mesh
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -278,7 +278,7 @@
 // TestNestedCall guards against a call that its node does not tie to the run that made it, which would count as a new
 // request and could be refused.
 func TestNestedCall(t *testing.T) {
-	w := newWorld(t, ledger(1, routing.Route{Name: "tree", Prefix: "/call/", Services: to("registry"), IsRepeatable: true}, birds2()))
+	w := newWorld(t, ledger(1, routing.Route{Name: "tree", Prefix: "/call/", Services: to("registry"), IsRepeatable: true}, quick()))
 	a, b := w.start("registry", "a", 0), w.start("transfers", "a", 0)
 	w.settle("/quick/1")
 	r := w.get(a, "/call/ledger.example/quick/1", "root")
@@ -286,7 +286,7 @@
 	w.c.Check(ids(b.application), qt.DeepEquals, []string{"root.1"})
 }
 
-func birds2() routing.Route {
+func quick() routing.Route {
 	return routing.Route{Name: "quick", Prefix: "/quick/", Services: to("transfers"), IsRepeatable: true}
 }
 
@@ -307,7 +307,7 @@
 
 // TestPipelined guards against a slow request that delays those behind it on its connection.
 func TestPipelined(t *testing.T) {
-	w := newWorld(t, ledger(1, birds(), birds2()))
+	w := newWorld(t, ledger(1, birds(), quick()))
 	a := w.start("registry", "a", 200*time.Millisecond)
 	b := w.start("transfers", "a", 0)
 	w.settle("/quick/1")
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	crand "crypto/rand"
 	"errors"
 	"math/rand/v2"
 	"net"
@@ -104,7 +103,7 @@
 // New returns a node that has not started.
 func New(d Dependencies) *Node {
 	start := time.Now()
-	random := newRandom()
+	random := request.NewRandom()
 	s := d.Settings
 	n := &Node{
 		settings: s, dialect: d.Dialect, directory: d.Directory, log: d.Log, control: d.Control, ready: d.Ready, reload: d.Reload,
@@ -117,7 +116,7 @@
 		planner:     placement.New(placement.DefaultSettings(), s.Zone, random),
 		costs:       tree.NewCosts(),
 		random:      random,
-		fleet:       fleet.New(fleet.DefaultSettings(), fleet.Address{Address: s.Address, Zone: s.Zone}, newRandom()),
+		fleet:       fleet.New(fleet.DefaultSettings(), fleet.Address{Address: s.Address, Zone: s.Zone}, request.NewRandom()),
 		ratio:       budget.NewRatio(budget.RatioSettings{SuccessesPerRetry: retryShare, Floor: 1, FloorInterval: s.RetryWindow}),
 		peers:       newPeerTransport(),
 	}
@@ -127,13 +126,6 @@
 	return n
 }
 
-func newRandom() *rand.Rand {
-	var seed [32]byte
-	// crypto/rand.Read never fails since Go 1.24.
-	_, _ = crand.Read(seed[:])
-	return rand.New(rand.NewChaCha8(seed))
-}
-
 func (n *Node) now() request.Instant { return request.Instant(time.Since(n.start)) }
 
 // defaultLimits hold until the first configuration is known.
--- a/mesh/path_test.go
+++ b/mesh/path_test.go
@@ -26,7 +26,7 @@
 
 // BenchmarkPath measures what two nodes add to a call of a backend server on another machine.
 func BenchmarkPath(b *testing.B) {
-	w := newBenchWorld(b, ledger(1, birds(), birds2()))
+	w := newBenchWorld(b, ledger(1, birds(), quick()))
 	a, other := w.start("registry", "a", 0), w.start("transfers", "a", 0)
 	w.settle("/quick/1")
 	for _, path := range []struct {
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -53,7 +53,7 @@
 	arrived := n.now()
 	c := n.configuration.Load()
 	if c == nil {
-		return n.refuse(ctx, &journey{attempt: attempt{id: n.dialect.ReadRequest(r.Header).ID}}, "no_configuration", startReturn)
+		return n.refuse(&journey{attempt: attempt{id: n.dialect.ReadRequest(r.Header).ID}}, "no_configuration", startReturn)
 	}
 	route, ok := c.Match(r.Host, r.URL.Path)
 	if !ok {
@@ -63,7 +63,7 @@
 	}
 	j := n.newJourney(r, c, route, arrived)
 	if j.parent == "" {
-		if refused := n.admitRoot(ctx, j); refused != nil {
+		if refused := n.admitRoot(j); refused != nil {
 			return refused
 		}
 	}
@@ -115,7 +115,7 @@
 }
 
 // admitRoot decides whether a new request begins; the result is nil if it does.
-func (n *Node) admitRoot(ctx context.Context, j *journey) *ingress.Response {
+func (n *Node) admitRoot(j *journey) *ingress.Response {
 	j.isReturn = n.rates.arrive(j.route.ID, j.left)
 	n.planMu.Lock()
 	ok := n.planner.Admit(j.route.ID)
@@ -123,7 +123,7 @@
 	if ok {
 		return nil
 	}
-	return n.refuse(ctx, j, "overload", 0)
+	return n.refuse(j, "overload", 0)
 }
 
 // target returns where the next attempt goes.
@@ -299,7 +299,7 @@
 		return &ingress.Response{Status: o.status, Header: o.header, Body: o.body, Length: o.length}
 	}
 	if !j.mayHaveRun {
-		return n.refuse(ctx, j, why, 0)
+		return n.refuse(j, why, 0)
 	}
 	status := http.StatusBadGateway
 	if ctx.Err() != nil {
@@ -314,7 +314,7 @@
 }
 
 // refuse tells the client that its request has not run, and when to come back.
-func (n *Node) refuse(_ context.Context, j *journey, why string, after time.Duration) *ingress.Response {
+func (n *Node) refuse(j *journey, why string, after time.Duration) *ingress.Response {
 	h := http.Header{}
 	if after == 0 {
 		left := j.left - n.now().Sub(j.arrived)
--- a/node/node.go
+++ b/node/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	crand "crypto/rand"
 	"math/rand/v2"
 	"net"
 	"net/url"
@@ -100,7 +99,7 @@
 		return nil, err
 	}
 	start := time.Now()
-	random := newRandom()
+	random := request.NewRandom()
 	i := d.Settings.Instance
 	n := &Node{
 		settings:    d.Settings,
@@ -130,32 +129,32 @@
 	}
 	routing := route.DefaultSettings(i.Name, i.Zone, i.Region)
 	routing.Connections = d.Settings.Backend.Connections
-	n.routes = &routes{table: route.New(routing, newRandom()), limiting: map[operationKey]request.ServiceID{}}
+	n.routes = &routes{table: route.New(routing, request.NewRandom()), limiting: map[operationKey]request.ServiceID{}}
 	n.sessions = &sessions{
 		table: session.New(session.Settings{
 			Instance:         i.Name,
 			Incarnation:      n.incarnation,
 			TicketsPerCaller: d.Settings.Limits.Tickets,
-		}, newRandom()),
+		}, request.NewRandom()),
 		answers: map[session.Effect]*answer{},
 	}
 	n.claims = &claims{
 		node:    n,
 		table:   d.Table,
-		machine: session.NewClaims(session.ClaimSettings{Instance: i.Name, Incarnation: n.incarnation}, newRandom()),
+		machine: session.NewClaims(session.ClaimSettings{Instance: i.Name, Incarnation: n.incarnation}, request.NewRandom()),
 		waiting: map[session.Waiter]chan session.ResolveClaim{},
 	}
 	n.crashes = &crashes{table: quarantine.New(quarantine.DefaultSettings())}
 	n.members = &members{
 		node:     n,
 		replaced: make(chan struct{}),
-		machine:  member.New(n.self(), member.DefaultSettings(), newRandom()),
+		machine:  member.New(n.self(), member.DefaultSettings(), request.NewRandom()),
 		waiting:  map[member.Exchange]chan member.Message{},
 	}
 	n.poller = &poller{
 		node:    n,
 		wake:    make(chan struct{}, 1),
-		machine: configuration.NewPoller(configuration.PollSettings{Instance: i.Name, Zone: i.Zone}, n.clock.now(), newRandom()),
+		machine: configuration.NewPoller(configuration.PollSettings{Instance: i.Name, Zone: i.Zone}, n.clock.now(), request.NewRandom()),
 	}
 	if security.peer != nil {
 		n.peers.credentials = n.peerCredentials
@@ -164,14 +163,6 @@
 	return n, nil
 }
 
-// newRandom returns a source that cannot be predicted, since tickets are made with it.
-func newRandom() *rand.Rand {
-	var seed [32]byte
-	// crypto/rand.Read never fails since Go 1.24.
-	_, _ = crand.Read(seed[:])
-	return rand.New(rand.NewChaCha8(seed))
-}
-
 func (n *Node) self() member.Member {
 	i := n.settings.Instance
 	return member.Member{
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -5,13 +5,13 @@
 // root, for the whole tree:
 //
 //	p := placement.New(placement.DefaultSettings(), zone, random)
-//	p.Update(now, instances, rates, costs)
-//	if !p.Admit(route, isReturn) { refuse }
-//	target, ok := p.Root(service, cost, excluded)
+//	p.Update(now, instances, routes)
+//	if !p.Admit(route) { refuse }
+//	target, ok := p.Root(route, service, cost, excluded)
 //	target, ok = p.Call(service, excluded)
 //
 // Admit gives the capacity of each service to the routes in the order of their rank. Root keeps a tree in the own
-// availability zone until the tightest service of the tree is clearly fuller there than elsewhere; it moves whole trees, with
-// a probability that grows with the difference, so that not all nodes move to the same zone at once. Call keeps calls in the
-// zone in which they are made.
+// availability zone unless the clients of the zone ask for more than its tightest service can carry, or the tree would be too
+// slow there; it moves whole trees, and only the share that exceeds the zone. Call keeps calls in the zone in which they are
+// made, unless the queue there is clearly longer than elsewhere.
 package placement
--- a/request/id.go
+++ b/request/id.go
@@ -1,6 +1,7 @@
 package request
 
 import (
+	crand "crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
 	"hash/fnv"
@@ -40,6 +41,14 @@
 	return Incarnation(uint64(start.UnixMilli())<<16 | random.Uint64()&0xffff)
 }
 
+// NewRandom returns a random source that cannot be predicted, since identifiers and tickets are made with it.
+func NewRandom() *rand.Rand {
+	var seed [32]byte
+	// crypto/rand.Read never fails since Go 1.24.
+	_, _ = crand.Read(seed[:])
+	return rand.New(rand.NewChaCha8(seed))
+}
+
 // ID identifies a request; a caller that resends a request keeps its ID.
 type ID [16]byte
 
--- a/standin/application.go
+++ b/standin/application.go
@@ -53,7 +53,7 @@
 	isLeaving bool
 	runs      []ApplicationRun
 	cancelled int
-	// Outbound, if set, is where calls of its own go: a request with the path /call/HOST/PATH calls that host and path.
+	// outbound, if set, is where its own calls go: a request with the path /call/HOST/PATH calls that host and path.
 	outbound string
 }
 
