--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -335,3 +335,24 @@
 		})
 	}
 }
+
+// TestTwoZonesLackServices guards against a zone that is planned beyond its slots although all zones together have room: two
+// zones have each lost the only instance of another service, so no tree can run whole in them.
+func TestTwoZonesLackServices(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	for i := range w.instances {
+		in := &w.instances[i]
+		if in.Zone == "b" && in.Service == "racedesk" || in.Zone == "c" && in.Service == "registry" {
+			in.Health = fleet.Down
+		}
+	}
+	for _, z := range []request.ZoneID{"a", "b", "c"} {
+		w.rate(z, lookup, 40) // 53 of the 68 slots of racedesk that are left
+	}
+	w.planner("a").Describe(func(routing.RouteID, float64) {}, func(s request.ServiceID, z request.ZoneID, _, use float64) {
+		if s == "racedesk" && z != "b" {
+			c.Check(use <= 1, qt.IsTrue, qt.Commentf("%s in %s is planned to %.2f", s, z, use))
+		}
+	})
+}
