gate: drop what nothing uses

The time of arrival in a queue entry, three queries of the gate and a redundant initialisation were left over; comments of logs and placement say what the code does.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -105,17 +105,12 @@
 func (Start) action() {}
 func (Drop) action()  {}
 
-type entry struct {
-	Attempt
-	since request.Instant
-}
-
 // Gate is the queue and the slots of one backend server; it is not safe for concurrent use.
 type Gate struct {
 	settings  Settings
 	slots     int
 	running   map[Number]struct{}
-	queue     []entry // most important first
+	queue     []Attempt // most important first
 	times     map[routing.RouteID]*mean
 	held      mean // time that any attempt holds a slot
 	coldSince request.Instant
@@ -172,9 +167,6 @@
 // Open takes attempts again.
 func (g *Gate) Open() { g.isClosed, g.reason = false, NoReason }
 
-// IsClosed reports whether the gate refuses everything.
-func (g *Gate) IsClosed() bool { return g.isClosed }
-
 // Limit returns the number of attempts that may run now.
 func (g *Gate) Limit(now request.Instant) int {
 	share := g.settings.UsedShare
@@ -184,9 +176,6 @@
 	return max(1, int(share*float64(g.slots)))
 }
 
-// Slots returns the number of slots that the backend server declares.
-func (g *Gate) Slots() int { return g.slots }
-
 // Running returns the number of attempts that run.
 func (g *Gate) Running() int { return len(g.running) }
 
@@ -217,7 +206,7 @@
 		g.running[a.Number] = struct{}{}
 		return Decision{Kind: Run}, nil
 	}
-	at, _ := slices.BinarySearchFunc(g.queue, a, func(e entry, a Attempt) int {
+	at, _ := slices.BinarySearchFunc(g.queue, a, func(e, a Attempt) int {
 		return cmp.Or(cmp.Compare(e.order(), a.order()), cmp.Compare(e.Deadline, a.Deadline), cmp.Compare(e.Number, a.Number))
 	})
 	wait := g.waitAt(now, at)
@@ -233,7 +222,7 @@
 		g.queue = g.queue[:len(g.queue)-1]
 		out = append(out, Drop{last.Number, QueueFull})
 	}
-	g.queue = slices.Insert(g.queue, at, entry{a, now})
+	g.queue = slices.Insert(g.queue, at, a)
 	started := g.fill(now)
 	return Decision{Kind: Wait, Wait: wait}, append(out, started...)
 }
@@ -252,17 +241,9 @@
 	return time.Duration(float64(g.held.value) * float64(position+1) / float64(g.Limit(now)))
 }
 
-// Wait returns the expected wait of a new entry at the end of the queue.
-func (g *Gate) Wait(now request.Instant) time.Duration {
-	if len(g.queue) == 0 && len(g.running) < g.Limit(now) {
-		return 0
-	}
-	return g.waitAt(now, len(g.queue))
-}
-
 // Cancel removes an entry that waits and reports whether it did; a running attempt ends with Finish.
 func (g *Gate) Cancel(n Number) bool {
-	i := slices.IndexFunc(g.queue, func(e entry) bool { return e.Number == n })
+	i := slices.IndexFunc(g.queue, func(e Attempt) bool { return e.Number == n })
 	if i < 0 {
 		return false
 	}
@@ -294,7 +275,7 @@
 // fill starts entries while slots are free, and drops those that cannot complete.
 func (g *Gate) fill(now request.Instant) []Action {
 	var out []Action
-	g.queue = slices.DeleteFunc(g.queue, func(e entry) bool {
+	g.queue = slices.DeleteFunc(g.queue, func(e Attempt) bool {
 		if e.Deadline.Sub(now) < g.usual(e.Route) {
 			out = append(out, Drop{e.Number, TooLate})
 			return true
--- a/logs/story.go
+++ b/logs/story.go
@@ -66,7 +66,7 @@
 	return out, scanner.Err()
 }
 
-// Tell writes what happened to a request in the order of the elapsed time, and ends with the cause of its end.
+// Tell writes what happened to a request in the order of the times of its lines, and ends with the cause of its end.
 func Tell(w io.Writer, requestID string, lines []Line) error {
 	if len(lines) == 0 {
 		_, err := fmt.Fprintf(w, "no line names request %s; it was served without trouble, or its lines were left out\n", requestID)
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -191,9 +191,6 @@
 	switch o := out.(type) {
 	case answered:
 		service := *n.origin.Load()
-		if _, isOwn := calls[service]; !isOwn {
-			calls[service] = 0
-		}
 		n.planMu.Lock()
 		speed := n.planner.Speed()
 		n.planMu.Unlock()
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -367,7 +367,7 @@
 	return sum
 }
 
-// speedBounds bound the speed of one backend server relative to the others of its service.
+// minSpeed and maxSpeed bound the speed of one backend server relative to the others of its service.
 const minSpeed, maxSpeed = 0.25, 4.0
 
 // speedsOf returns how fast each instance is, relative to the mean of the instances that mostly run the same route.
