mesh: let the backend server work while its node stops

Ruled out: a shorter stop, since clients ask for the readiness every second and requests need up to 2 s to end.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -409,9 +409,12 @@
 // leave closes the gate because the node itself stops.
 func (b *backend) leave(why string) {
 	b.mu.Lock()
+	isNew := !b.isLeft
 	b.beginLeave(why)
 	b.mu.Unlock()
-	b.node.tick()
+	if isNew {
+		b.node.tick()
+	}
 }
 
 // setDown closes the gate after a refused connection.
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -220,39 +220,6 @@
 	return l, nil
 }
 
-const (
-	// drainInterval is the time between two checks whether requests are in flight.
-	drainInterval = 20 * time.Millisecond
-	// intakeTime is how long requests are taken after SIGTERM, while clients learn from the readiness that the node stops.
-	// What is taken later may not complete within the stop time.
-	intakeTime = 2500 * time.Millisecond
-	// stopMargin is the part of the stop time that is left for the end of the process.
-	stopMargin = 500 * time.Millisecond
-)
-
-// drain stops taking new work and waits for what is in flight.
-func (n *Node) drain() {
-	begin := time.Now()
-	n.isStop.Store(true)
-	n.ingress.Drain()
-	n.log.Info().Str("event", "drain").Int("active", n.ingress.Active()).Msg("SIGTERM received; requests in flight are finished")
-	n.backend.leave("the node stops")
-	limit := n.settings.StopTime - stopMargin
-	for time.Since(begin) < limit {
-		time.Sleep(drainInterval)
-		if time.Since(begin) < min(intakeTime, limit/2) {
-			continue
-		}
-		n.ingress.StopAccepting()
-		n.ingress.CloseIdle()
-		if n.ingress.Active() == 0 && n.backend.active() == 0 {
-			break
-		}
-	}
-	n.log.Info().Str("event", "drained").Dur("took", time.Since(begin)).Int("active", n.ingress.Active()).
-		Int("running", n.backend.active()).Msg("drained")
-}
-
 // reloadLoop applies changed settings; only the service and the backend server may change while the node runs.
 func (n *Node) reloadLoop(ctx context.Context) error {
 	for {
