mesh: keep the costs of routes in the store

From 40 s on, all nodes admit every request, since none knows what a tree costs: 1,144 calls meet a full queue at autorizza within four seconds, and 707 trees fail (gate queue_full, no plan line with a fraction before 41 s). Ruled out: cold servers (the limits follow the ramp) and the configuration (known within 0.1 s). Change: the node with the lowest address writes costs that have changed by 30%, at most each three seconds; all read them at their start.

--- a/mesh/dialect.go
+++ b/mesh/dialect.go
@@ -9,6 +9,7 @@
 	"github.com/sapphiretack/sapphiretack/fleet"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/routing"
+	"github.com/sapphiretack/sapphiretack/tree"
 )
 
 // Settings are what a node is told at its start.
@@ -85,7 +86,7 @@
 	Cursor uint64
 }
 
-// Directory is what a deployment's store keeps: the routing configuration and the addresses of the nodes.
+// Directory is what a deployment's store keeps: the routing configuration, the addresses of the nodes, and what requests cost.
 type Directory interface {
 	// Configuration reads the newest configuration.
 	Configuration(ctx context.Context) (Update, error)
@@ -97,6 +98,10 @@
 	Register(ctx context.Context, a fleet.Address) error
 	// Addresses returns the nodes that have registered.
 	Addresses(ctx context.Context) ([]fleet.Address, error)
+	// Costs returns what the requests of each route have cost.
+	Costs(ctx context.Context) (map[routing.RouteID]tree.Cost, error)
+	// KeepCosts replaces the costs of the given routes.
+	KeepCosts(ctx context.Context, costs map[routing.RouteID]tree.Cost) error
 }
 
 // State is what a backend server says of itself.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -16,6 +16,7 @@
 	"github.com/sapphiretack/sapphiretack/mesh"
 	"github.com/sapphiretack/sapphiretack/routing"
 	"github.com/sapphiretack/sapphiretack/standin"
+	"github.com/sapphiretack/sapphiretack/tree"
 )
 
 func birds() routing.Route {
@@ -326,3 +327,26 @@
 		w.c.Check(err, qt.IsNil)
 	}
 }
+
+// TestCostsAtStart guards against a node that admits every request of a route after its start, because it has not served any.
+func TestCostsAtStart(t *testing.T) {
+	w := newWorld(t, ledger(1, birds()))
+	w.directory.costs[routing.IDOf("birds")] = tree.Cost{"registry": time.Minute}
+	a := w.start("registry", "a", 0)
+	w.settle("/birds/1")
+	w.eventually("a request is refused", func() bool { return w.get(a, "/birds/1", "id").status == http.StatusServiceUnavailable })
+}
+
+// TestCostsKept guards against costs that are forgotten when all nodes stop.
+func TestCostsKept(t *testing.T) {
+	w := newWorld(t, ledger(1, birds()))
+	a := w.start("registry", "a", 0)
+	w.start("registry", "a", 0)
+	w.settle("/birds/1")
+	w.eventually("the cost of the route is in the store", func() bool {
+		w.get(a, "/birds/1", "id")
+		costs, err := w.directory.Costs(t.Context())
+		w.c.Assert(err, qt.IsNil)
+		return costs[routing.IDOf("birds")]["registry"] > 0
+	})
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -155,7 +155,7 @@
 		return err
 	}
 	for _, loop := range []func(context.Context) error{
-		n.tickLoop, n.receiveLoop, n.watchLoop, n.registerLoop, n.backend.probeLoop, n.reloadLoop,
+		n.tickLoop, n.receiveLoop, n.watchLoop, n.registerLoop, n.costLoop, n.backend.probeLoop, n.reloadLoop,
 	} {
 		group.Add(func() error { return loop(work) }, func(error) { stopWork() })
 	}
--- a/mesh/world_test.go
+++ b/mesh/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,6 +24,7 @@
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/routing"
 	"github.com/sapphiretack/sapphiretack/standin"
+	"github.com/sapphiretack/sapphiretack/tree"
 )
 
 // directory is a store in memory.
@@ -31,10 +33,11 @@
 	current   *routing.Configuration
 	changed   chan struct{}
 	addresses []fleet.Address
+	costs     map[routing.RouteID]tree.Cost
 	isDown    bool
 }
 
-func newDirectory() *directory { return &directory{changed: make(chan struct{})} }
+func newDirectory() *directory { return &directory{changed: make(chan struct{}), costs: map[routing.RouteID]tree.Cost{}} }
 
 func (d *directory) set(c *routing.Configuration) {
 	d.mu.Lock()
@@ -87,6 +90,19 @@
 	return append([]fleet.Address(nil), d.addresses...), nil
 }
 
+func (d *directory) Costs(context.Context) (map[routing.RouteID]tree.Cost, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return maps.Clone(d.costs), nil
+}
+
+func (d *directory) KeepCosts(_ context.Context, costs map[routing.RouteID]tree.Cost) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	maps.Copy(d.costs, costs)
+	return nil
+}
+
 // machine is a node and its application server.
 type machine struct {
 	application *standin.Application
--- a/tree/cost.go
+++ b/tree/cost.go
@@ -1,6 +1,7 @@
 package tree
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -87,6 +88,49 @@
 	}
 }
 
+// seedCount is the number of samples that a cost learned elsewhere counts for, so that own samples replace it soon.
+const seedCount = 8
+
+// Seed sets the costs of routes of which no sample is known.
+func (t *Costs) Seed(known map[routing.RouteID]Cost) {
+	for r, c := range known {
+		if t.routes[r] != nil || len(c) == 0 {
+			continue
+		}
+		l := &learned{mean: make(map[request.ServiceID]float64, len(c)), count: seedCount}
+		for s, held := range c {
+			l.mean[s] = float64(held)
+		}
+		t.routes[r] = l
+	}
+}
+
+// Changed returns the costs that differ from those known elsewhere by more than the share.
+func (t *Costs) Changed(known map[routing.RouteID]Cost, share float64) map[routing.RouteID]Cost {
+	out := map[routing.RouteID]Cost{}
+	for r, l := range t.routes {
+		if c := t.Of(r); l.count >= seedCount && c.differs(known[r], share) {
+			out[r] = c
+		}
+	}
+	return out
+}
+
+// differs reports whether a service takes more or less of its time than in another cost, by more than the share of the latter.
+func (c Cost) differs(other Cost, share float64) bool {
+	for s, held := range c {
+		if math.Abs(float64(held-other[s])) > share*float64(max(other[s], costUnit)) {
+			return true
+		}
+	}
+	for s, held := range other {
+		if _, ok := c[s]; !ok && held > costUnit {
+			return true
+		}
+	}
+	return false
+}
+
 // Of returns the mean cost of the route, or nil before the first sample.
 func (t *Costs) Of(r routing.RouteID) Cost {
 	l := t.routes[r]
--- a/tree/tree_test.go
+++ b/tree/tree_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/sapphiretack/sapphiretack/routing"
 	"github.com/sapphiretack/sapphiretack/tree"
 )
 
@@ -75,3 +76,41 @@
 	c.Check(got["a"] < time.Millisecond, qt.IsTrue, qt.Commentf("%v", got))
 	c.Check(got["b"] > 9*time.Millisecond, qt.IsTrue, qt.Commentf("%v", got))
 }
+
+// TestSeed guards against a restart after which a node admits everything, and against costs of others that outlive own samples.
+func TestSeed(t *testing.T) {
+	c := qt.New(t)
+	costs := tree.NewCosts()
+	costs.Observe(1, tree.Cost{"racedesk": 100 * time.Millisecond})
+	costs.Seed(map[routing.RouteID]tree.Cost{
+		1: {"racedesk": time.Second}, 2: {"racedesk": 440 * time.Millisecond, "registry": 700 * time.Millisecond}, 3: {},
+	})
+	c.Check(costs.Of(1), qt.DeepEquals, tree.Cost{"racedesk": 100 * time.Millisecond})
+	c.Check(costs.Of(2), qt.DeepEquals, tree.Cost{"racedesk": 440 * time.Millisecond, "registry": 700 * time.Millisecond})
+	c.Check(costs.Of(3), qt.IsNil)
+	for range 64 {
+		costs.Observe(2, tree.Cost{"racedesk": 40 * time.Millisecond})
+	}
+	c.Check(costs.Of(2)["racedesk"] < 100*time.Millisecond, qt.IsTrue)
+}
+
+// TestChanged guards against costs that are written again and again without a change, and against changes that are not written.
+func TestChanged(t *testing.T) {
+	c := qt.New(t)
+	costs := tree.NewCosts()
+	observe := func(r routing.RouteID, n int, cost tree.Cost) {
+		for range n {
+			costs.Observe(r, cost)
+		}
+	}
+	observe(1, 20, tree.Cost{"racedesk": 100 * time.Millisecond})
+	observe(2, 20, tree.Cost{"racedesk": 100 * time.Millisecond, "archives": 10 * time.Millisecond})
+	observe(3, 2, tree.Cost{"racedesk": 100 * time.Millisecond})
+	known := map[routing.RouteID]tree.Cost{}
+	first := costs.Changed(known, 0.3)
+	c.Check(first, qt.DeepEquals, map[routing.RouteID]tree.Cost{1: costs.Of(1), 2: costs.Of(2)}, qt.Commentf("route 3 has too few samples"))
+	c.Check(costs.Changed(first, 0.3), qt.HasLen, 0)
+	observe(1, 64, tree.Cost{"racedesk": 120 * time.Millisecond})
+	observe(2, 200, tree.Cost{"racedesk": 100 * time.Millisecond})
+	c.Check(costs.Changed(first, 0.3), qt.DeepEquals, map[routing.RouteID]tree.Cost{2: costs.Of(2)}, qt.Commentf("archives is not reached any more"))
+}
