--- a/mesh/world_test.go
+++ b/mesh/world_test.go
@@ -37,7 +37,9 @@
 	isDown    bool
 }
 
-func newDirectory() *directory { return &directory{changed: make(chan struct{}), costs: map[routing.RouteID]tree.Cost{}} }
+func newDirectory() *directory {
+	return &directory{changed: make(chan struct{}), costs: map[routing.RouteID]tree.Cost{}}
+}
 
 func (d *directory) set(c *routing.Configuration) {
 	d.mu.Lock()
