placement: let trees with little time choose their zones first

They moved out only as far as the fast zones had room, while ring transfers, which have 2 s, stayed there; then a second mechanism moved trees of any kind out of full zones, back into the slow one. Change: one layout instead of the two mechanisms. Routes take room in the order of how much of their time they use; each tree stays in its client's zone while that fits, then goes where it fits, and what fits nowhere stays. The file is split by job, and a refused request's line names the service that is full.

--- a/mesh/log.go
+++ b/mesh/log.go
@@ -50,9 +50,9 @@
 	e := n.describe(n.log.Info().Str("event", "refused"), j).Str("why", why).Dur("retry_after", after).Bool("return", j.isReturn)
 	if j.route != nil {
 		n.planMu.Lock()
-		fraction, age := n.planner.Fraction(j.route.ID), n.planner.Age(n.now())
+		share, age := n.planner.Share(j.route.ID), n.planner.Age(n.now())
 		n.planMu.Unlock()
-		e = e.Float64("fraction", fraction).Dur("plan_age", age)
+		e = e.Float64("fraction", round(share.Fraction)).Str("full_service", string(share.Full)).Dur("plan_age", age)
 	}
 	e.Int("refusals", j.refusals).Msg("the request has not run and was refused")
 }
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -133,7 +133,7 @@
 	if j.isCall {
 		return n.planner.Call(j.service, j.excluded)
 	}
-	return n.planner.Root(j.route.ID, j.service, n.costs.Of(j.route.ID), j.excluded)
+	return n.planner.Root(j.route.ID, j.service, j.excluded)
 }
 
 // attemptAll tries instances until one answers or no further attempt is allowed.
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -74,7 +74,7 @@
 func (w *world) zones(p *placement.Planner, r routing.RouteID) map[request.ZoneID]int {
 	out := map[request.ZoneID]int{}
 	for range trials {
-		t, ok := p.Root(r, w.routes[r].Service, w.routes[r].Cost, nil)
+		t, ok := p.Root(r, w.routes[r].Service, nil)
 		if ok {
 			out[t.Zone]++
 		}
@@ -93,11 +93,12 @@
 		{Route: arrival, Rank: 1, PerSecond: 102, Cost: tree.Cost{"racedesk": 90 * time.Millisecond}},
 		{Route: 4, Rank: 2, PerSecond: 1000, Cost: tree.Cost{"archives": time.Second}},
 	})
-	c.Check(got[entry], qt.Equals, 1.0)
-	c.Check(got[arrival], qt.Equals, 1.0)
+	c.Check(got[entry].Fraction, qt.Equals, 1.0)
+	c.Check(got[arrival].Fraction, qt.Equals, 1.0)
 	want := (100 - 97*0.44 - 102*0.09) / (340 * 0.44)
-	c.Check(got[lookup] > want-1e-9 && got[lookup] < want+1e-9, qt.IsTrue, qt.Commentf("got %v, want %v", got[lookup], want))
-	c.Check(got[4], qt.Equals, 1.0)
+	c.Check(got[lookup].Fraction > want-1e-9 && got[lookup].Fraction < want+1e-9, qt.IsTrue, qt.Commentf("got %v, want %v", got[lookup], want))
+	c.Check(got[lookup].Full, qt.Equals, request.ServiceID("racedesk"))
+	c.Check(got[4], qt.Equals, placement.Share{Fraction: 1})
 }
 
 // TestCalmStays guards against trees that cross zones without need.
@@ -158,6 +159,35 @@
 	c.Check(w.zones(p, arrival), qt.DeepEquals, map[request.ZoneID]int{"c": trials})
 }
 
+// TestSlowZoneTakesRelaxedTrees replays the worst load on servers of unequal speed: lookups that only the fast zones serve in
+// time fill these, so trees with more time have to leave them to the lookups and use the slow zone.
+func TestSlowZoneTakesRelaxedTrees(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld()
+	for i := range w.instances {
+		factor := 0.7
+		if w.instances[i].Zone == "c" {
+			factor = 1.6
+		}
+		w.instances[i].UsualTime = time.Duration(factor * float64(50*time.Millisecond))
+	}
+	relaxed := w.routes[entry]
+	relaxed.Bound = 5 * time.Second
+	w.routes[entry] = relaxed
+	for _, z := range []request.ZoneID{"a", "b", "c"} {
+		w.rate(z, lookup, 50)
+		w.rate(z, entry, 15)
+	}
+	a, slow := w.planner("a"), w.planner("c")
+	c.Check(a.Share(lookup).Fraction > 0.9, qt.IsTrue, qt.Commentf("%v", a.Share(lookup).Fraction))
+	c.Check(w.zones(a, lookup)["c"], qt.Equals, 0)
+	c.Check(w.zones(slow, lookup)["c"] < trials/5, qt.IsTrue, qt.Commentf("%v", w.zones(slow, lookup)))
+	c.Check(w.zones(a, entry)["c"] > trials/5, qt.IsTrue, qt.Commentf("%v", w.zones(a, entry)))
+	a.Describe(func(routing.RouteID, float64) {}, func(s request.ServiceID, z request.ZoneID, _, use float64) {
+		c.Check(use < 1, qt.IsTrue, qt.Commentf("%s in %s is planned to %.2f", s, z, use))
+	})
+}
+
 // TestGoneServers guards against attempts at instances that are known not to take them while others do.
 func TestGoneServers(t *testing.T) {
 	for name, spoil := range map[string]func(*fleet.Instance){
@@ -239,9 +269,9 @@
 	w.rate("a", lookup, 20)
 	w.rate("a", arrival, 10)
 	p := w.planner("a")
-	c.Check(p.Fraction(lookup), qt.Equals, 0.0)
-	c.Check(p.Fraction(arrival), qt.Equals, 1.0)
-	_, ok := p.Root(arrival, "racedesk", w.routes[arrival].Cost, nil)
+	c.Check(p.Share(lookup).Fraction, qt.Equals, 0.0)
+	c.Check(p.Share(arrival).Fraction, qt.Equals, 1.0)
+	_, ok := p.Root(arrival, "racedesk", nil)
 	c.Check(ok, qt.IsTrue)
 }
 
@@ -253,7 +283,7 @@
 		{Route: 1, Rank: 2, PerSecond: 100, Cost: tree.Cost{"racedesk": time.Second, "archives": time.Second}},
 		{Route: 2, Rank: 2, PerSecond: 50, Cost: tree.Cost{"archives": time.Second}},
 	})
-	c.Check(got, qt.DeepEquals, map[routing.RouteID]float64{1: 0.1, 2: 1})
+	c.Check(got, qt.DeepEquals, map[routing.RouteID]placement.Share{1: {Fraction: 0.1, Full: "racedesk"}, 2: {Fraction: 1}})
 }
 
 // TestQueues guards against a service that stays overloaded because its demand is underestimated.
@@ -261,13 +291,13 @@
 	c := qt.New(t)
 	w := newWorld()
 	w.rate("a", lookup, 220) // 97 of 102 slots of racedesk
-	before := w.planner("a").Fraction(lookup)
+	before := w.planner("a").Share(lookup).Fraction
 	for i := range w.instances {
 		if w.instances[i].Service == "racedesk" {
 			w.instances[i].Load = 3000
 		}
 	}
-	c.Check(w.planner("a").Fraction(lookup) < 0.7*before, qt.IsTrue)
+	c.Check(w.planner("a").Share(lookup).Fraction < 0.7*before, qt.IsTrue)
 }
 
 // TestShortQueue replays the peaks of a calm day on alg-sicilia: queues of half an attempt a slot at the deepest service while
@@ -283,15 +313,15 @@
 			w.instances[i].Load = 1500
 		}
 	}
-	c.Check(w.planner("a").Fraction(lookup) < 1, qt.IsTrue, qt.Commentf("trees that take most of their time"))
+	c.Check(w.planner("a").Share(lookup).Fraction < 1, qt.IsTrue, qt.Commentf("trees that take most of their time"))
 	w.routes[lookup] = relaxed
-	c.Check(w.planner("a").Fraction(lookup), qt.Equals, 1.0)
+	c.Check(w.planner("a").Share(lookup).Fraction, qt.Equals, 1.0)
 	for i := range w.instances {
 		if w.instances[i].Service == "racedesk" {
 			w.instances[i].Load = 3500
 		}
 	}
-	c.Check(w.planner("a").Fraction(lookup) < 1, qt.IsTrue, qt.Commentf("a queue that is nearly full"))
+	c.Check(w.planner("a").Share(lookup).Fraction < 1, qt.IsTrue, qt.Commentf("a queue that is nearly full"))
 }
 
 // TestMissingService replays a zone that has lost the only instance of a service in the middle of the trees: trees that begin
--- /dev/null
+++ b/placement/plan.go
@@ -0,0 +1,260 @@
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/routing"
+	"github.com/sapphiretack/sapphiretack/tree"
+)
+
+// Route is what is known of a route.
+type Route struct {
+	Rank routing.Rank
+	// Service is where most of its trees begin.
+	Service request.ServiceID
+	Cost    tree.Cost
+	// Bound is the time in which a response is worth most; 0 means that none is known.
+	Bound time.Duration
+}
+
+// tightness returns which share of its time a tree of the route takes.
+func (r Route) tightness() float64 {
+	if r.Bound <= 0 {
+		return 0
+	}
+	return r.Cost[r.Service].Seconds() / r.Bound.Seconds()
+}
+
+// chance returns the probability that a tree of the route meets no failure of a backend server, from the number of its runs
+// at each service, and the service where failures are most likely.
+func (p *Planner) chance(r Route) (chance float64, worst request.ServiceID) {
+	chance, least := 1.0, 1.0
+	for s, held := range r.Cost {
+		passing, known := p.passing[s]
+		if !known || passing >= 1 {
+			continue
+		}
+		runs := 1.0
+		if usual := p.usual[s]; usual > 0 {
+			runs = max(1, held.Seconds()/usual)
+		}
+		here := math.Pow(passing, runs)
+		chance *= here
+		if here < least || here == least && s < worst {
+			least, worst = here, s
+		}
+	}
+	return chance, worst
+}
+
+// plan works out which share of each route is admitted, and where the admitted requests begin.
+func (p *Planner) plan(capacity map[request.ServiceID]float64, routes map[routing.RouteID]Route, rates map[routing.RouteID]zoneRates) {
+	demands := make([]Demand, 0, len(routes))
+	hopeless := map[routing.RouteID]request.ServiceID{}
+	for id, r := range routes {
+		d := Demand{Route: id, Rank: r.Rank, Cost: r.Cost}
+		// A tree that will almost surely fail wastes the work of all services above the failure.
+		if chance, worst := p.chance(r); chance < p.settings.LeastChance {
+			hopeless[id] = worst
+		} else {
+			for _, rate := range rates[id] {
+				d.PerSecond += rate
+			}
+		}
+		demands = append(demands, d)
+	}
+	p.shares = Fractions(capacity, demands)
+	for id, worst := range hopeless {
+		p.shares[id] = Share{Full: worst}
+	}
+	p.layOut(routes, rates)
+}
+
+// zoneRates are the requests a second that the clients of each zone send on a route.
+type zoneRates map[request.ZoneID]float64
+
+// rates returns the routes that clients use and whose cost is known, and how much they use them.
+func (p *Planner) rates(route func(routing.RouteID) (Route, bool)) (map[routing.RouteID]Route, map[routing.RouteID]zoneRates) {
+	routes, rates := map[routing.RouteID]Route{}, map[routing.RouteID]zoneRates{}
+	for _, in := range p.instances {
+		if !in.IsFresh {
+			continue
+		}
+		for _, rate := range in.Rates {
+			byZone := rates[rate.Route]
+			if byZone == nil {
+				r, ok := route(rate.Route)
+				if !ok {
+					continue
+				}
+				byZone = zoneRates{}
+				routes[rate.Route], rates[rate.Route] = r, byZone
+			}
+			byZone[in.Zone] += float64(rate.PerSecond)
+		}
+	}
+	return routes, rates
+}
+
+// place is another zone in which a share of the own zone's trees of a route begins.
+type place struct {
+	zone  request.ZoneID
+	share float64
+}
+
+// layOut decides in which zones the admitted trees of each route begin. Routes with the least time to spare choose first, so
+// that those with more leave the fast zones to them. A tree stays in the zone of its client while that has room.
+func (p *Planner) layOut(routes map[routing.RouteID]Route, rates map[routing.RouteID]zoneRates) {
+	p.places = map[routing.RouteID][]place{}
+	rooms := p.rooms(routes, rates)
+	order := slices.Collect(maps.Keys(routes))
+	slices.SortFunc(order, func(a, b routing.RouteID) int {
+		return cmp.Or(cmp.Compare(routes[b].tightness(), routes[a].tightness()), cmp.Compare(routes[a].Rank, routes[b].Rank), cmp.Compare(a, b))
+	})
+	for _, id := range order {
+		p.layOutRoute(id, routes[id], rates[id], rooms)
+	}
+}
+
+// rooms returns the slots of each service and zone that may be planned. Zones are filled alike, but for what KeepLoad allows.
+func (p *Planner) rooms(routes map[routing.RouteID]Route, rates map[routing.RouteID]zoneRates) rooms {
+	wanted := map[request.ServiceID]float64{}
+	for id, r := range routes {
+		for _, rate := range rates[id] {
+			for s, held := range r.Cost {
+				wanted[s] += p.shares[id].Fraction * rate * held.Seconds()
+			}
+		}
+	}
+	out := rooms{}
+	for s, byZone := range p.zones {
+		total := 0.0
+		for _, z := range byZone {
+			total += z.capacity
+		}
+		out[s] = map[request.ZoneID]float64{}
+		for zone, z := range byZone {
+			out[s][zone] = max(p.settings.KeepLoad, wanted[s]/max(total, 1)) * z.capacity
+		}
+	}
+	return out
+}
+
+// layOutRoute places the trees of one route and takes their room.
+func (p *Planner) layOutRoute(id routing.RouteID, r Route, rate zoneRates, left rooms) {
+	fits := p.fittingZones(r)
+	rest := zoneRates{}
+	for _, zone := range p.zoneNames {
+		wanted := p.shares[id].Fraction * rate[zone]
+		if wanted <= 0 {
+			continue
+		}
+		stays := 0.0
+		if fits[zone] {
+			stays = min(wanted, left.trees(r, zone))
+			p.take(left, r, zone, stays)
+		}
+		rest[zone] = wanted - stays
+	}
+	needed, total := 0.0, 0.0
+	room := zoneRates{}
+	for _, zone := range p.zoneNames {
+		needed += rest[zone]
+		if fits[zone] {
+			room[zone] = left.trees(r, zone)
+			total += room[zone]
+		}
+	}
+	if needed <= 0 {
+		return
+	}
+	moved := min(1, total/needed)
+	for _, zone := range p.zoneNames {
+		if room[zone] > 0 {
+			part := room[zone] / total
+			p.take(left, r, zone, moved*needed*part)
+			if zone != p.zone && rest[p.zone] > 0 {
+				p.places[id] = append(p.places[id], place{zone, moved * part * rest[p.zone] / (p.shares[id].Fraction * rate[p.zone])})
+			}
+		}
+		// What fits nowhere stays and waits.
+		p.take(left, r, zone, (1-moved)*rest[zone])
+	}
+}
+
+// take notes that trees of a route begin in a zone.
+func (p *Planner) take(left rooms, r Route, zone request.ZoneID, perSecond float64) {
+	if perSecond <= 0 {
+		return
+	}
+	for s, held := range r.Cost {
+		p.zoneOf(s, zone).demand += perSecond * held.Seconds()
+		if left[s] != nil {
+			left[s][zone] -= perSecond * held.Seconds()
+		}
+	}
+}
+
+// rooms are the slots that are left in each service and zone.
+type rooms map[request.ServiceID]map[request.ZoneID]float64
+
+// trees returns the trees a second that the room of a zone carries.
+func (l rooms) trees(r Route, zone request.ZoneID) float64 {
+	out := math.Inf(1)
+	for s, held := range r.Cost {
+		if held > 0 {
+			out = min(out, max(0, l[s][zone]/held.Seconds()))
+		}
+	}
+	return out
+}
+
+// fittingZones returns the zones in which a tree of the route runs whole and in time. Queues make trees slow in all zones
+// alike, so only the comparison with another zone tells where backend servers are slow.
+func (p *Planner) fittingZones(r Route) map[request.ZoneID]bool {
+	best := math.Inf(1)
+	whole := map[request.ZoneID]bool{}
+	for _, zone := range p.zoneNames {
+		if p.hasAll(r, zone) {
+			whole[zone] = true
+			best = min(best, p.treeTime(r, zone))
+		}
+	}
+	for zone := range whole {
+		took := p.treeTime(r, zone)
+		if r.Bound > 0 && took > p.settings.SlowShare*r.Bound.Seconds() && took > fasterFactor*best {
+			delete(whole, zone)
+		}
+	}
+	return whole
+}
+
+// hasAll reports whether all services of a route have an instance in the zone.
+func (p *Planner) hasAll(r Route, zone request.ZoneID) bool {
+	if z := p.zones[r.Service][zone]; z == nil || len(z.usable) == 0 {
+		return false
+	}
+	for s := range r.Cost {
+		if z := p.zones[s][zone]; z == nil || len(z.usable) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// fasterFactor is the ratio of times above which a zone is worth a move.
+const fasterFactor = 1.2
+
+// treeTime returns the seconds that a tree of the route takes in the zone, or 0 if that is not known.
+func (p *Planner) treeTime(r Route, zone request.ZoneID) float64 {
+	z := p.zones[r.Service][zone]
+	if z == nil || z.capacity == 0 {
+		return 0
+	}
+	return r.Cost[r.Service].Seconds() * z.limit / z.capacity
+}
