--- a/logs/story.go
+++ b/logs/story.go
@@ -24,13 +24,15 @@
 	Why     string    `json:"why"`
 	Cause   string    `json:"cause"`
 	Status  int       `json:"status"`
-	// Elapsed, Took and Wait are in milliseconds.
+	// Elapsed, Left, Took and Wait are in milliseconds.
 	Elapsed    float64 `json:"elapsed"`
 	Took       float64 `json:"took"`
 	Wait       float64 `json:"wait"`
 	RetryAfter float64 `json:"retry_after"`
 	Fraction   float64 `json:"fraction"`
 	PlanAge    float64 `json:"plan_age"`
+	Full       string  `json:"full_service"`
+	Left       float64 `json:"left"`
 	Instance   string  `json:"instance"`
 	Version    int64   `json:"config_version"`
 	number     int     // order in which the lines were read
@@ -85,8 +87,8 @@
 func (l Line) describe(requestID string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s", l.Node, l.Event)
-	if call := strings.TrimPrefix(l.Request, requestID); call != "" {
-		fmt.Fprintf(&b, " call %s", call)
+	if l.Request != requestID {
+		b.WriteString(" " + l.name(requestID))
 	}
 	for _, field := range []struct{ name, value string }{
 		{"route", l.Route}, {"to", l.To}, {"instance", l.Instance}, {"result", l.Result}, {"why", l.Why}, {"cause", l.Cause},
@@ -114,26 +116,36 @@
 	return b.String()
 }
 
+// deadlineText is how Go words the end of a time limit.
+const deadlineText = "context deadline exceeded"
+
 // cause says why the request ended as it did: the last failure of its deepest call, or of its own.
 func cause(requestID string, lines []Line) string {
-	var end, deepest *Line
+	var end, deepest, late *Line
 	for i := range lines {
 		l := &lines[i]
 		if l.Request == requestID && (l.Event == "refused" || l.Event == "ended" || l.Event == "answered") {
 			end = l
 		}
 		isFailure := l.Event == "refused" || l.Event == "ended" || l.Event == "gate" || l.Event == "attempt"
-		if isFailure && (deepest == nil || strings.Count(l.Request, ".") >= strings.Count(deepest.Request, ".")) {
+		if isFailure && isDeeper(l, deepest) {
 			deepest = l
 		}
+		if l.To != "" && (l.Why == deadlineText || l.Cause == deadlineText) && isDeeper(l, late) {
+			late = l
+		}
 	}
 	switch {
 	case end != nil && end.Event == "refused" && end.Why == "overload":
-		return fmt.Sprintf("refused at its root: %.0f%% of the route's requests could begin, by a plan %.0f ms old", 100*end.Fraction, end.PlanAge)
+		return fmt.Sprintf("refused at its root: %.0f%% of the route's requests could begin, since %s is full by a plan %.0f ms old",
+			100*end.Fraction, cmp.Or(end.Full, "a service"), end.PlanAge)
 	case end != nil && end.Event == "refused":
 		return "refused, has not run: " + end.Why
+	case end != nil && late != nil:
+		return fmt.Sprintf("its time was over: %s to %s began with %.0f ms left", late.name(requestID), late.To, late.Elapsed+late.Left)
 	case end != nil && deepest != nil && deepest.Request != requestID:
-		return fmt.Sprintf("its call %s to %s ended with %s", strings.TrimPrefix(deepest.Request, requestID), deepest.To, cmp.Or(deepest.Why, deepest.Cause, deepest.Result))
+		return fmt.Sprintf("its %s to %s ended with %s", deepest.name(requestID), cmp.Or(deepest.To, targetOf(deepest.Request, lines)),
+			cmp.Or(deepest.Why, deepest.Cause, deepest.Result))
 	case end != nil && end.Event == "ended":
 		return cmp.Or(end.Cause, end.Why)
 	case end != nil:
@@ -141,3 +153,26 @@
 	}
 	return "no line tells its end; read the log of the client's node"
 }
+
+// isDeeper reports whether a line is about a call at least as deep as that of another line, which may be nil.
+func isDeeper(l, than *Line) bool {
+	return than == nil || strings.Count(l.Request, ".") >= strings.Count(than.Request, ".")
+}
+
+// name returns "the request" or "call" with the rest of its identifier.
+func (l *Line) name(requestID string) string {
+	if call := strings.TrimPrefix(l.Request, requestID); call != "" {
+		return "call " + call
+	}
+	return "the request"
+}
+
+// targetOf returns the service that another line names for a call.
+func targetOf(id string, lines []Line) string {
+	for i := range lines {
+		if lines[i].Request == id && lines[i].To != "" {
+			return lines[i].To
+		}
+	}
+	return "an unnamed service"
+}
