--- a/cmd/sapphiretack/mesh.go
+++ b/cmd/sapphiretack/mesh.go
@@ -21,7 +21,7 @@
 const (
 	// meshGCPercent: at 150 the collector delayed requests enough to miss the floor of alg-sicilia scale-2 (0.212 of 0.22); 400
 	// reaches 0.231 with 28 MB more at the peak.
-	meshGCPercent = 400
+	meshGCPercent = 200
 	// memoryShare of the limit is used before the collector works harder.
 	memoryShare = 0.7
 	// settingsInterval is the time between two looks at the settings file, which may change without a signal.
--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sapphiretack/sapphiretack/gate"
@@ -170,11 +172,11 @@
 	kind, rest, _ := strings.Cut(result, " ")
 	switch kind {
 	case "answered":
-		out := answered{
-			status: response.StatusCode, header: passedHeaders(response.Header), body: response.Body, length: response.ContentLength,
-			cost: tree.DecodeCost(response.Header.Get(costHeader)), isOwnFailure: rest == "own",
-		}
-		return readSmall(out)
+		cost := tree.DecodeCost(response.Header.Get(costHeader))
+		return readSmall(answered{
+			status: response.StatusCode, header: removeHop(response.Header), body: response.Body, length: response.ContentLength,
+			cost: cost, isOwnFailure: rest == "own",
+		})
 	case "not_run":
 		defer drainBody(response)
 		fields := strings.Split(rest, " ")
@@ -228,13 +230,55 @@
 		return
 	}
 	if r.ContentLength != 0 {
-		a.body, a.length = r.Body, r.ContentLength
+		controller := http.NewResponseController(w)
+		body := &attemptBody{source: r.Body}
+		defer body.stop(controller)
+		a.body, a.length = body, r.ContentLength
 		// A backend server may answer before it has read a long body.
-		_ = http.NewResponseController(w).EnableFullDuplex()
+		_ = controller.EnableFullDuplex()
 	}
 	n.writeOutcome(w, n.backend.run(r.Context(), a))
 }
 
+// attemptBody is the body of an attempt. The transport may still read it for the backend server when the attempt has ended;
+// net/http panics if it then reads the rest of the same body.
+type attemptBody struct {
+	source    io.Reader
+	mu        sync.Mutex // held while the source is read
+	isStopped atomic.Bool
+	isReading atomic.Bool
+}
+
+// errBodyStopped ends the transfer of a body whose attempt has ended.
+var errBodyStopped = Error.New("the attempt has ended before its body was read")
+
+// Read implements io.Reader.
+func (b *attemptBody) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.isReading.Store(true)
+	defer b.isReading.Store(false)
+	if b.isStopped.Load() {
+		return 0, errBodyStopped
+	}
+	return b.source.Read(p)
+}
+
+// stop ends the reads of the body. If one waits for the other node, the rest of the body cannot be told from the next attempt,
+// so the connection ends after the outcome that was written.
+func (b *attemptBody) stop(c *http.ResponseController) {
+	b.isStopped.Store(true)
+	if !b.isReading.Load() {
+		return
+	}
+	// If one of these fails, the connection is broken already, which ends the read too.
+	_ = c.Flush()
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	panic(http.ErrAbortHandler)
+}
+
 func (n *Node) writeOutcome(w http.ResponseWriter, o outcome) {
 	h := w.Header()
 	h["Date"] = nil // set by net/http otherwise
@@ -256,6 +300,9 @@
 	}
 }
 
+// copyBuffer is the size of the pieces in which a long body is passed on.
+const copyBuffer = 4 << 10
+
 func (n *Node) writeAnswer(w http.ResponseWriter, a answered) {
 	defer a.body.Close()
 	h := w.Header()
@@ -275,7 +322,11 @@
 		h.Set("Content-Length", strconv.FormatInt(a.length, 10))
 	}
 	w.WriteHeader(a.status)
-	buffer := make([]byte, min(smallBody, 4<<10))
+	size := copyBuffer
+	if a.length >= 0 {
+		size = int(min(copyBuffer, max(1, a.length))) // an empty read may not reach the end
+	}
+	buffer := make([]byte, size)
 	controller := http.NewResponseController(w)
 	for {
 		count, err := a.body.Read(buffer)
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -307,7 +307,7 @@
 		return broken{err: errors.New("the response has an encoding that was not asked for")}
 	}
 	return readSmall(answered{
-		status: response.StatusCode, header: passedHeaders(response.Header), body: response.Body, length: response.ContentLength,
+		status: response.StatusCode, header: removeHop(response.Header), body: response.Body, length: response.ContentLength,
 	})
 }
 
--- a/mesh/rates.go
+++ b/mesh/rates.go
@@ -21,6 +21,7 @@
 type demand struct {
 	count     int
 	perSecond float64
+	intervals int // of which perSecond is the mean
 	// usual is the longest time that a client of the route waits; a client with clearly less has been here before.
 	usual time.Duration
 }
@@ -45,9 +46,12 @@
 func (r *rates) roll(elapsed time.Duration) []fleet.Rate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	weight := 1 - math.Exp(-elapsed.Seconds()/rateTime.Seconds())
+	settled := 1 - math.Exp(-elapsed.Seconds()/rateTime.Seconds())
 	var out []fleet.Rate
 	for id, d := range r.routes {
+		d.intervals++
+		// The first intervals count alike, since a mean that begins at 0 would admit too much for a second after a start.
+		weight := max(settled, 1/float64(d.intervals))
 		d.perSecond += weight * (float64(d.count)/elapsed.Seconds() - d.perSecond)
 		d.count = 0
 		if d.perSecond > 0.05 {
--- a/mesh/transport.go
+++ b/mesh/transport.go
@@ -66,22 +66,24 @@
 const ownPrefix = "Sapphiretack-"
 
 // passedHeaders returns the headers that are passed on from one connection to another.
-func passedHeaders(h http.Header) http.Header {
-	out := h.Clone()
+func passedHeaders(h http.Header) http.Header { return removeHop(h.Clone()) }
+
+// removeHop deletes the headers that are not passed on and returns the same map.
+func removeHop(h http.Header) http.Header {
 	for _, field := range h["Connection"] {
 		for name := range strings.SplitSeq(field, ",") {
-			out.Del(strings.TrimSpace(name))
+			h.Del(strings.TrimSpace(name))
 		}
 	}
 	for _, name := range hopHeaders {
-		delete(out, name)
+		delete(h, name)
 	}
-	for name := range out {
+	for name := range h {
 		if strings.HasPrefix(name, ownPrefix) {
-			delete(out, name)
+			delete(h, name)
 		}
 	}
-	return out
+	return h
 }
 
 // onceBody hides that a body can be read again, which would allow net/http to send a request twice.
--- a/placement/capacity.go
+++ b/placement/capacity.go
@@ -33,7 +33,7 @@
 	if queue <= 0 {
 		return 0
 	}
-	late := (tightness - s.CalmShare) / (s.SlowShare - s.CalmShare)
+	late := (tightness - s.CalmShare) / (s.LateShare - s.CalmShare)
 	deep := queue/s.DeepQueue - 1
 	return s.QueueGain * queue * min(1, max(0, late, deep))
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -23,8 +23,8 @@
 	// QueueGain turns queues beyond the slots of a service into a smaller capacity, if trees through it are late or the queue
 	// nears its bound.
 	QueueGain float64
-	// CalmShare is the share of its time that a tree may take before queues count at all; they count fully at SlowShare.
-	CalmShare float64
+	// CalmShare is the share of its time that a tree may take before queues count at all; they count fully at LateShare.
+	CalmShare, LateShare float64
 	// DeepQueue is the number of waiting attempts for each slot from which queues count in any case, since a full queue
 	// refuses calls in mid-tree.
 	DeepQueue float64
@@ -41,7 +41,7 @@
 // DefaultSettings returns the settings of the design.
 func DefaultSettings() Settings {
 	return Settings{
-		FilledShare: 0.92, KeepLoad: 0.75, SlowShare: 0.7, QueueGain: 0.3, CalmShare: 0.35, DeepQueue: 1,
+		FilledShare: 0.92, KeepLoad: 0.75, SlowShare: 0.7, QueueGain: 0.3, CalmShare: 0.35, LateShare: 0.7, DeepQueue: 1,
 		LeastChance: 0.2, CallLoad: 1.2,
 		FailingPercent: 30, ProbeShare: 0.02,
 	}
