--- a/logs/story.go
+++ b/logs/story.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -32,6 +33,7 @@
 	Fraction   float64 `json:"fraction"`
 	PlanAge    float64 `json:"plan_age"`
 	Full       string  `json:"full_service"`
+	NoRepeat   string  `json:"no_repeat"`
 	Left       float64 `json:"left"`
 	Instance   string  `json:"instance"`
 	Version    int64   `json:"config_version"`
@@ -131,7 +133,7 @@
 		if isFailure && isDeeper(l, deepest) {
 			deepest = l
 		}
-		if l.To != "" && (l.Why == deadlineText || l.Cause == deadlineText) && isDeeper(l, late) {
+		if l.isLate() && isDeeper(l, late) {
 			late = l
 		}
 	}
@@ -146,6 +148,8 @@
 	case end != nil && deepest != nil && deepest.Request != requestID:
 		return fmt.Sprintf("its %s to %s ended with %s", deepest.name(requestID), cmp.Or(deepest.To, targetOf(deepest.Request, lines)),
 			cmp.Or(deepest.Why, deepest.Cause, deepest.Result))
+	case end != nil && end.Event == "ended" && end.NoRepeat != "":
+		return cmp.Or(end.Cause, end.Why) + "; not sent once more: " + end.NoRepeat
 	case end != nil && end.Event == "ended":
 		return cmp.Or(end.Cause, end.Why)
 	case end != nil:
@@ -154,6 +158,12 @@
 	return "no line tells its end; read the log of the client's node"
 }
 
+// isLate reports whether the time of a request was over before its backend server had completed it.
+func (l *Line) isLate() bool {
+	isTimeout := l.Event == "answered" && l.Status == http.StatusGatewayTimeout
+	return l.To != "" && (isTimeout || l.Why == deadlineText || l.Cause == deadlineText)
+}
+
 // isDeeper reports whether a line is about a call at least as deep as that of another line, which may be nil.
 func isDeeper(l, than *Line) bool {
 	return than == nil || strings.Count(l.Request, ".") >= strings.Count(than.Request, ".")
--- a/mesh/log.go
+++ b/mesh/log.go
@@ -42,7 +42,7 @@
 }
 
 func (n *Node) logEnd(j *journey, why string, status int, err error) {
-	n.describe(n.log.Info().Str("event", "ended"), j).Str("why", why).Int("status", status).AnErr("cause", err).
+	n.describe(n.log.Info().Str("event", "ended"), j).Str("why", why).Str("no_repeat", string(j.denied)).Int("status", status).AnErr("cause", err).
 		Int("refusals", j.refusals).Int("arrivals", j.arrivals).Msg("the request ended without an answer")
 }
 
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -45,6 +45,7 @@
 	arrivals int // attempts that reached a backend server
 	// mayHaveRun is set after an attempt without proof that it did not run.
 	mayHaveRun bool
+	denied     denial // why it was not sent once more
 	failure    *answered
 }
 
@@ -172,7 +173,7 @@
 			j.arrivals++
 			j.mayHaveRun = true
 			j.excluded = append(j.excluded, t.Address)
-			if !n.mayRepeat(ctx, j) {
+			if j.denied = n.denyRepeat(ctx, j); j.denied != "" {
 				return n.giveUp(ctx, j, "broken", o.err)
 			}
 			j.isRepeat = true
@@ -213,12 +214,35 @@
 	return j.arrivals < j.route.MaxAttempts && n.allowRetry(j.service)
 }
 
-// mayRepeat reports whether an attempt that may have run is sent once more.
-func (n *Node) mayRepeat(ctx context.Context, j *journey) bool {
-	if ctx.Err() != nil || !j.isRepeatable || j.arrivals >= j.route.MaxAttempts || j.body != nil && !j.canReplay {
-		return false
-	}
-	return !j.isRepeat && n.allowRetry(j.service)
+// denial is why an attempt that may have run is not sent once more; the empty denial allows it.
+type denial string
+
+const (
+	deniedByClient   denial = "client_gone"
+	deniedByKind     denial = "not_repeatable"
+	deniedByAttempts denial = "max_attempts"
+	deniedByBody     denial = "body_not_kept"
+	deniedByTree     denial = "part_of_a_repeat"
+	deniedByBudget   denial = "retry_budget"
+)
+
+// denyRepeat decides whether an attempt that may have run is sent once more, and takes the retry from the budget if so.
+func (n *Node) denyRepeat(ctx context.Context, j *journey) denial {
+	switch {
+	case ctx.Err() != nil:
+		return deniedByClient
+	case !j.isRepeatable:
+		return deniedByKind
+	case j.arrivals >= j.route.MaxAttempts:
+		return deniedByAttempts
+	case j.body != nil && !j.canReplay:
+		return deniedByBody
+	case j.isRepeat:
+		return deniedByTree
+	case !n.allowRetry(j.service):
+		return deniedByBudget
+	}
+	return ""
 }
 
 // mayRepeatFailure reports whether a failure of the backend server itself is worth another attempt.
