--- a/placement/plan.go
+++ b/placement/plan.go
@@ -34,7 +34,8 @@
 // at each service, and the service where failures are most likely.
 func (p *Planner) chance(r Route) (chance float64, worst request.ServiceID) {
 	chance, least := 1.0, 1.0
-	for s, held := range r.Cost {
+	for _, s := range slices.Sorted(maps.Keys(r.Cost)) {
+		held := r.Cost[s]
 		passing, known := p.passing[s]
 		if !known || passing >= 1 {
 			continue
@@ -45,7 +46,7 @@
 		}
 		here := math.Pow(passing, runs)
 		chance *= here
-		if here < least || here == least && s < worst {
+		if here < least {
 			least, worst = here, s
 		}
 	}
@@ -62,8 +63,8 @@
 		if chance, worst := p.chance(r); chance < p.settings.LeastChance {
 			hopeless[id] = worst
 		} else {
-			for _, rate := range rates[id] {
-				d.PerSecond += rate
+			for _, zone := range sortedZones(rates[id]) {
+				d.PerSecond += rates[id][zone]
 			}
 		}
 		demands = append(demands, d)
@@ -75,6 +76,11 @@
 	p.layOut(routes, rates)
 }
 
+// sortedZones returns the zones of a map in a fixed order, so that sums do not depend on the order of a map.
+func sortedZones[V any](byZone map[request.ZoneID]V) []request.ZoneID {
+	return slices.Sorted(maps.Keys(byZone))
+}
+
 // zoneRates are the requests a second that the clients of each zone send on a route.
 type zoneRates map[request.ZoneID]float64
 
@@ -124,18 +130,18 @@
 // rooms returns the slots of each service and zone that may be planned. Zones are filled alike, but for what KeepLoad allows.
 func (p *Planner) rooms(routes map[routing.RouteID]Route, rates map[routing.RouteID]zoneRates) rooms {
 	wanted := map[request.ServiceID]float64{}
-	for id, r := range routes {
-		for _, rate := range rates[id] {
-			for s, held := range r.Cost {
-				wanted[s] += p.shares[id].Fraction * rate * held.Seconds()
+	for _, id := range slices.Sorted(maps.Keys(routes)) {
+		for _, zone := range sortedZones(rates[id]) {
+			for s, held := range routes[id].Cost {
+				wanted[s] += p.shares[id].Fraction * rates[id][zone] * held.Seconds()
 			}
 		}
 	}
 	out := rooms{}
 	for s, byZone := range p.zones {
 		total := 0.0
-		for _, z := range byZone {
-			total += z.capacity
+		for _, zone := range sortedZones(byZone) {
+			total += byZone[zone].capacity
 		}
 		out[s] = map[request.ZoneID]float64{}
 		for zone, z := range byZone {
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -125,7 +125,8 @@
 	p.passing = map[request.ServiceID]float64{}
 	for s, byZone := range p.zones {
 		load := 0.0
-		for _, z := range byZone {
+		for _, zone := range sortedZones(byZone) {
+			z := byZone[zone]
 			capacity[s] += z.capacity * p.settings.FilledShare
 			load += z.load
 			if z.limit > 0 {
