--- a/cmd/sapphiretack-experiment/main.go
+++ b/cmd/sapphiretack-experiment/main.go
@@ -21,11 +21,13 @@
 	scenario, deployment, variant string
 	seed                          uint64
 	json, timeline                bool
+	trees                         bool
+	graph, pattern, policy        string
 	parallel                      int
 }
 
 func main() {
-	o := options{scenario: "all", deployment: "all", variant: "all", seed: 1, parallel: 2}
+	o := options{scenario: "all", deployment: "all", variant: "all", seed: 1, parallel: 2, graph: "all", pattern: "all", policy: "all"}
 	flaggy.SetName("sapphiretack-experiment")
 	flaggy.SetDescription("Runs overload experiments in virtual time. Example: sapphiretack-experiment --scenario surge10 --variant sapphiretack")
 	flaggy.String(&o.scenario, "", "scenario", "Scenarios, separated by commas, or all")
@@ -34,6 +36,10 @@
 	flaggy.UInt64(&o.seed, "", "seed", "Seed of the run")
 	flaggy.Bool(&o.json, "", "json", "Print one JSON document for each run")
 	flaggy.Bool(&o.timeline, "", "timeline", "Print each control interval")
+	flaggy.Bool(&o.trees, "", "trees", "Compare where call trees are placed and admitted instead of scenarios")
+	flaggy.String(&o.graph, "", "graph", "With --trees: call graphs, separated by commas, or all")
+	flaggy.String(&o.pattern, "", "pattern", "With --trees: load patterns, separated by commas, or all")
+	flaggy.String(&o.policy, "", "policy", "With --trees: policies, separated by commas, or all")
 	flaggy.Int(&o.parallel, "", "parallel", "Runs at the same time")
 	flaggy.Parse()
 	if err := run(o); err != nil {
@@ -43,6 +49,9 @@
 }
 
 func run(o options) error {
+	if o.trees {
+		return runTrees(o)
+	}
 	deployments, err := choose(experiment.Deployments, o.deployment, func(d *experiment.Deployment) string { return d.Name })
 	if err != nil {
 		return err
@@ -156,3 +165,50 @@
 			p.Millis, p.Arrived, p.Answered, p.Completed, p.Levels, p.Queued, p.Millis99)
 	}
 }
+
+// runTrees compares policies for call trees.
+func runTrees(o options) error {
+	graphs, err := choose(experiment.Graphs, o.graph, func(g *experiment.Graph) string { return g.Name })
+	if err != nil {
+		return err
+	}
+	patterns, err := choose(experiment.Patterns, o.pattern, func(p experiment.Pattern) string { return p.Name })
+	if err != nil {
+		return err
+	}
+	policies, err := choose(experiment.TreePolicies, o.policy, func(p experiment.TreePolicy) string { return p.Name })
+	if err != nil {
+		return err
+	}
+	reports := make([]experiment.TreeReport, len(graphs)*len(patterns)*len(policies))
+	var group errgroup.Group
+	group.SetLimit(max(1, o.parallel))
+	place := 0
+	for _, g := range graphs {
+		for _, p := range patterns {
+			for _, v := range policies {
+				at := place
+				place++
+				group.Go(func() error { reports[at] = experiment.RunTrees(g, p, v, o.seed); return nil })
+			}
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return errs.Wrap(err)
+	}
+	if o.json {
+		encoder := json.NewEncoder(os.Stdout)
+		for _, r := range reports {
+			if err := encoder.Encode(r); err != nil {
+				return errs.Wrap(err)
+			}
+		}
+		return nil
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "graph\tpattern\tpolicy\tworth\tserved\trefused\tfailed\t")
+	for _, r := range reports {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%.3f\t%.3f\t%.3f\t%.3f\t\n", r.Graph, r.Pattern, r.Policy, r.Worth, r.Served, r.Refused, r.Failed)
+	}
+	return w.Flush()
+}
