soak: run nodes as processes under overlapping faults and check what callers and servers saw

Eight nodes as processes; the stand-in store and backend servers in the process of the soak. Faults from a seed: SIGTERM, SIGKILL, SIGSTOP, all killed at once, a proxy between nodes and in front of the store that delays, resets, cuts one way or goes silent, a store that stalls, fails, loses answers or is stale, backend servers that end, leave, or spoil responses, and configurations. Checked: twice, attempts, refused, unasked, mixed, drain, stop, recovery, processes that end by themselves.

--- /dev/null
+++ b/cmd/sapphiretack-soak/main.go
@@ -0,0 +1,104 @@
+// Command sapphiretack-soak runs nodes as processes of their own, breaks things around them and checks their promises.
+//
+//	sapphiretack-soak --program target/sapphiretack --seed 1 --count 50 --journal soak.jsonl
+//
+// It ends with status 1 if a promise was broken. The journal has a line of JSON for each seed.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/sapphiretack/sapphiretack/soak"
+)
+
+type options struct {
+	program, journal string
+	seed             uint64
+	count, parallel  int
+	length           time.Duration
+}
+
+// errBroken is the end of a run that found broken promises.
+var errBroken = errors.New("a promise was broken")
+
+func main() {
+	o := options{program: "target/sapphiretack", seed: 1, count: 1, parallel: 1, length: 10 * time.Second}
+	flaggy.SetName("sapphiretack-soak")
+	flaggy.SetDescription("runs nodes as processes, breaks things around them and checks their promises. Example: sapphiretack-soak --seed 7")
+	flaggy.String(&o.program, "", "program", "File of the sapphiretack command")
+	flaggy.UInt64(&o.seed, "", "seed", "First seed")
+	flaggy.Int(&o.count, "", "count", "Number of seeds")
+	flaggy.Int(&o.parallel, "", "parallel", "Seeds at the same time")
+	flaggy.Duration(&o.length, "", "length", "How long clients send in each run")
+	flaggy.String(&o.journal, "", "journal", "File to which a line of JSON is added for each seed")
+	flaggy.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "sapphiretack-soak:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o options) error {
+	var mu sync.Mutex
+	broken := 0
+	var group errgroup.Group
+	group.SetLimit(max(1, o.parallel))
+	for i := range o.count {
+		group.Go(func() error {
+			if ctx.Err() != nil {
+				return nil
+			}
+			result, err := soak.Run(ctx, soak.Settings{Program: o.program, Seed: o.seed + uint64(i), Length: o.length})
+			mu.Lock()
+			defer mu.Unlock()
+			if len(result.Violations) > 0 {
+				broken++
+			}
+			print(result)
+			return errors.Join(err, note(o.journal, result))
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	if broken > 0 {
+		return fmt.Errorf("%w in %d of %d runs", errBroken, broken, o.count)
+	}
+	return nil
+}
+
+func print(r soak.Result) {
+	fmt.Printf("seed %d: %d sent, %d served, %d refused, %d violations\n", r.Seed, r.Sent, r.Served, r.Refused, len(r.Violations))
+	for _, v := range r.Violations {
+		fmt.Println("  ", v)
+	}
+	if r.Directory != "" {
+		fmt.Println("   logs:", r.Directory)
+	}
+}
+
+// note adds a result to the journal.
+func note(path string, r soak.Result) error {
+	if path == "" {
+		return nil
+	}
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return errs.Wrap(err)
+	}
+	return errs.Wrap(errors.Join(json.NewEncoder(f).Encode(r), f.Close()))
+}
--- /dev/null
+++ b/soak/check.go
@@ -0,0 +1,168 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of the soak itself.
+var Error = errs.Class("soak")
+
+// Sent is a request of a client.
+type Sent struct {
+	ID, Method, Path, Body string
+	// IsUnsafe is set if it may run at most once.
+	IsUnsafe bool
+}
+
+// Got is how a request ended at its client.
+type Got struct {
+	ID string
+	// Status is 0 if the connection ended without a whole response.
+	Status int
+	// AnswerID and Body are those of the response; IsSealed is set if it bears a backend server's signature.
+	AnswerID, Body string
+	IsSealed       bool
+}
+
+// Ran is a request that a backend server began to work on.
+type Ran struct {
+	ID, Instance, Method, Path, Body string
+	At                               time.Time
+}
+
+// Left is the acknowledged departure of a backend server.
+type Left struct {
+	Instance string
+	At       time.Time
+}
+
+// History collects what callers and backend servers saw; it is safe for concurrent use.
+type History struct {
+	mu   sync.Mutex
+	sent map[string]Sent
+	got  []Got
+	ran  []Ran
+	left []Left
+}
+
+// NewHistory returns an empty History.
+func NewHistory() *History { return &History{sent: map[string]Sent{}} }
+
+// Send records a request before it is sent.
+func (h *History) Send(s Sent) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sent[s.ID] = s
+}
+
+// Get records the end of a request.
+func (h *History) Get(g Got) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.got = append(h.got, g)
+}
+
+// Run records a run.
+func (h *History) Run(r Ran) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ran = append(h.ran, r)
+}
+
+// Leave records an acknowledged departure.
+func (h *History) Leave(l Left) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.left = append(h.left, l)
+}
+
+// Rules are what a deployment promises.
+type Rules struct {
+	// MaxAttempts bounds the runs of a request that may be repeated.
+	MaxAttempts int
+	// DrainTime is how long after its acknowledged departure a backend server may get requests.
+	DrainTime time.Duration
+}
+
+// Violation is a broken promise.
+type Violation struct {
+	Rule, Detail string
+}
+
+// String returns the violation as a line of a journal.
+func (v Violation) String() string { return v.Rule + ": " + v.Detail }
+
+// Check returns the promises that the history breaks, in a fixed order.
+func (h *History) Check(rules Rules) []Violation {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []Violation
+	report := func(rule, format string, args ...any) {
+		out = append(out, Violation{rule, fmt.Sprintf(format, args...)})
+	}
+	runs := map[string]int{}
+	for _, r := range h.ran {
+		runs[r.ID]++
+		h.checkRun(r, report)
+		for _, l := range h.left {
+			if l.Instance == r.Instance && r.At.Sub(l.At) > rules.DrainTime {
+				report("drain", "%s reached %s %v after its departure was acknowledged", r.ID, r.Instance, r.At.Sub(l.At).Round(time.Millisecond))
+			}
+		}
+	}
+	for id, n := range runs {
+		s, ok := h.sent[id]
+		switch {
+		case !ok: // a call; a run that is repeated makes its calls again
+		case s.IsUnsafe && n > 1:
+			report("twice", "%s ran %d times", id, n)
+		case n > rules.MaxAttempts:
+			report("attempts", "%s ran %d times", id, n)
+		}
+	}
+	for _, g := range h.got {
+		h.checkAnswer(g, runs[g.ID], report)
+	}
+	slices.SortFunc(out, func(a, b Violation) int { return strings.Compare(a.String(), b.String()) })
+	return out
+}
+
+// checkRun checks that a run is what a client sent, or a call of it.
+func (h *History) checkRun(r Ran, report func(rule, format string, args ...any)) {
+	s, ok := h.sent[r.ID]
+	if parent, isCall := strings.CutSuffix(r.ID, callSuffix); !ok && isCall {
+		_, ok = h.sent[parent]
+		if ok {
+			return
+		}
+	}
+	switch {
+	case !ok:
+		report("unasked", "%s ran on %s, though nobody sent it", r.ID, r.Instance)
+	case s.Method != r.Method || s.Path != r.Path || s.Body != r.Body:
+		report("unasked", "%s ran as %s %s with a body of %d bytes, and was sent as %s %s with %d", r.ID, r.Method, r.Path, len(r.Body), s.Method, s.Path, len(s.Body))
+	}
+}
+
+// checkAnswer checks that a response is true.
+func (h *History) checkAnswer(g Got, runs int, report func(rule, format string, args ...any)) {
+	s := h.sent[g.ID]
+	isRefusal := slices.Contains([]int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}, g.Status)
+	switch {
+	case g.Status == http.StatusOK && !g.IsSealed:
+		report("mixed", "%s got a success without a signature", g.ID)
+	case g.Status == http.StatusOK && (g.AnswerID != g.ID || !isAnswerTo(g.Body, g.ID)):
+		report("mixed", "%s got the response to %s: %.60q", g.ID, g.AnswerID, g.Body)
+	case g.Status == http.StatusOK && runs == 0:
+		report("mixed", "%s succeeded and never ran", g.ID)
+	case isRefusal && s.IsUnsafe && runs > 0:
+		report("refused", "%s was answered %d and ran", g.ID, g.Status)
+	}
+}
--- /dev/null
+++ b/soak/check_test.go
@@ -0,0 +1,68 @@
+package soak_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/soak"
+)
+
+// event is one line of a scripted history.
+type event struct {
+	Sent *soak.Sent
+	Got  *soak.Got
+	Ran  *soak.Ran
+	Left *soak.Left
+	// AfterMS is the time of a run or of a departure.
+	AfterMS int
+}
+
+// TestCheck guards against a check that does not notice what it is for, and against one that accuses what is allowed.
+func TestCheck(t *testing.T) {
+	start := time.Unix(1_700_000_000, 0)
+	datadriven.RunTest(t, "testdata/check", func(t *testing.T, d *datadriven.TestData) string {
+		h := soak.NewHistory()
+		for line := range strings.Lines(d.Input) {
+			var e event
+			qt.Assert(t, json.Unmarshal([]byte(line), &e), qt.IsNil, qt.Commentf("%s", line))
+			at := start.Add(time.Duration(e.AfterMS) * time.Millisecond)
+			switch {
+			case e.Sent != nil:
+				h.Send(*e.Sent)
+			case e.Got != nil:
+				h.Get(*e.Got)
+			case e.Ran != nil:
+				e.Ran.At = at
+				h.Run(*e.Ran)
+			case e.Left != nil:
+				e.Left.At = at
+				h.Leave(*e.Left)
+			}
+		}
+		var out strings.Builder
+		for _, v := range h.Check(soak.Rules{MaxAttempts: 2, DrainTime: 2 * time.Second}) {
+			fmt.Fprintln(&out, v)
+		}
+		return out.String()
+	})
+}
+
+// TestPlan guards against a seed that does not repeat its faults, and against plans without one of the kinds.
+func TestPlan(t *testing.T) {
+	c := qt.New(t)
+	c.Check(soak.NewPlan(7, 8, 10*time.Second), qt.DeepEquals, soak.NewPlan(7, 8, 10*time.Second))
+	kinds := map[string]bool{}
+	for seed := range uint64(50) {
+		for _, s := range soak.NewPlan(seed, 8, 10*time.Second) {
+			kinds[fmt.Sprintf("%T", s.Fault)] = true
+			c.Check(s.At < 8*time.Second, qt.IsTrue)
+		}
+	}
+	c.Check(kinds, qt.HasLen, 11)
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,45 @@
+package soak_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/soak"
+)
+
+// runLength is that of the runs in CI; sapphiretack-soak runs longer ones by hand.
+const runLength = 5 * time.Second
+
+// TestSeeds plays the seeds in testdata/seeds, which have failed once or stand for a mechanism, against real processes. It
+// guards against promises that hold one fault at a time, and not when faults overlap.
+func TestSeeds(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "sapphiretack")
+	output, err := exec.Command("go", "build", "-o", program, "../cmd/sapphiretack").CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", output))
+	file, err := os.Open("testdata/seeds")
+	qt.Assert(t, err, qt.IsNil)
+	defer file.Close()
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		line, _, _ := strings.Cut(lines.Text(), "#")
+		var seed uint64
+		if _, err := fmt.Sscan(line, &seed); err != nil {
+			continue // a comment
+		}
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			result, err := soak.Run(context.Background(), soak.Settings{Program: program, Seed: seed, Length: runLength})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, result.Violations, qt.HasLen, 0, qt.Commentf("logs: %s\n%s", result.Directory, strings.Join(result.Steps, "\n")))
+			qt.Check(t, result.Served > 0, qt.IsTrue)
+		})
+	}
+}
--- a/standin/application.go
+++ b/standin/application.go
@@ -36,6 +36,8 @@
 	Slots    int
 	// Work is how long a request runs.
 	Work time.Duration
+	// Observe, if set, is told of each request when it begins to run.
+	Observe func(ApplicationRun)
 }
 
 // ApplicationRun is one request that an application server ran.
@@ -125,11 +127,15 @@
 		return
 	}
 	left, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms")) // 0 if the header is missing
-	a.mu.Lock()
-	a.runs = append(a.runs, ApplicationRun{
+	run := ApplicationRun{
 		ID: id, Method: r.Method, Target: r.RequestURI, Host: r.Host, Caller: r.Header.Get("X-Caller-Service"),
 		Body: string(body), Left: time.Duration(left) * time.Millisecond,
-	})
+	}
+	if a.settings.Observe != nil {
+		a.settings.Observe(run)
+	}
+	a.mu.Lock()
+	a.runs = append(a.runs, run)
 	a.mu.Unlock()
 	if !a.work(r) {
 		a.mu.Lock()
--- /dev/null
+++ b/standin/client.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// NewApplicationRequest returns a request of a client of the users' platform to a node.
+func NewApplicationRequest(ctx context.Context, address, host, method, path, id string, left time.Duration, body io.Reader, length int64) (*http.Request, error) {
+	if length == 0 {
+		body = nil
+	}
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	if err != nil {
+		return nil, err
+	}
+	r.Host, r.ContentLength = host, length
+	r.Header.Set("X-Request-Id", id)
+	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	return r, nil
+}
+
+// ApplicationAnswer is what the headers of a response say to a client.
+type ApplicationAnswer struct {
+	RequestID string
+	IsSealed  bool
+}
+
+// ReadApplicationAnswer reads the headers of a response.
+func ReadApplicationAnswer(h http.Header) ApplicationAnswer {
+	return ApplicationAnswer{RequestID: h.Get("X-Request-Id"), IsSealed: h.Get("X-Response-Seal") != ""}
+}
+
+// ApplicationReport is what an application server says of itself to the node on its machine.
+type ApplicationReport struct {
+	Instance, Service, Address string
+	IsLeaving                  bool
+	Slots, Sequence            int
+	Born                       time.Time
+}
+
+// reportTimeout bounds a report; the next one follows soon.
+const reportTimeout = time.Second
+
+// Send sends the report and reports whether it was acknowledged.
+func (r ApplicationReport) Send(ctx context.Context, control string) bool {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	state := "ready"
+	if r.IsLeaving {
+		state = "draining"
+	}
+	body, err := json.Marshal(map[string]any{
+		"service": r.Service, "address": r.Address, "state": state, "slots": r.Slots, "seq": r.Sequence, "born": r.Born.UnixMilli(),
+	})
+	if err != nil {
+		return false
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+control+"/-/instances/"+r.Instance, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// ApplicationRoute is a route of a configuration.
+type ApplicationRoute struct {
+	Name, Prefix, Service string
+	IsRepeatable          bool
+	Priority, MaxAttempts int
+}
+
+// ApplicationConfiguration returns a configuration as the platform's operator writes it.
+func ApplicationConfiguration(version int, host string, routes []ApplicationRoute) []byte {
+	type columns struct {
+		Columns []string `json:"columns"`
+		Rows    [][]any  `json:"rows"`
+	}
+	r := columns{Columns: []string{"name", "host", "prefix", "kind", "timeout_ms", "priority", "max_attempts", "service"}}
+	s := columns{Columns: []string{"name", "health_path", "max_connections"}}
+	seen := map[string]bool{}
+	for _, route := range routes {
+		kind := "unsafe"
+		if route.IsRepeatable {
+			kind = "safe"
+		}
+		r.Rows = append(r.Rows, []any{route.Name, host, route.Prefix, kind, 1500, route.Priority, route.MaxAttempts, route.Service})
+		if !seen[route.Service] {
+			seen[route.Service] = true
+			s.Rows = append(s.Rows, []any{route.Service, "/health", 100})
+		}
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": version, "routes": r, "services": s,
+		"limits": map[string]any{"max_header_bytes": 16 << 10, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+	if err != nil {
+		panic(err) // all values are of types that JSON has
+	}
+	return data
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -272,6 +272,19 @@
 	return writePlatformJSON(w, http.StatusOK, platformPage{Version: p.fake.Last(), NowMs: time.Now().UnixMilli()})
 }
 
+// Set writes a row as the platform's operator; an error means that it may not have been written.
+func (p *Platform) Set(ctx context.Context, table, key string, value []byte) error {
+	r := platformRow{Table: table, Key: key, Value: value}
+	p.commitMu.Lock()
+	defer p.commitMu.Unlock()
+	before := p.fake.Last()
+	err := p.fake.Commit(ctx, store.Transaction{Writes: []store.Write{{Key: r.key(), Value: value}}})
+	if version := p.fake.Last(); version != before {
+		p.record(platformTransaction{Set: []platformRow{r}}, version)
+	}
+	return err
+}
+
 // record adds a transaction to the history and wakes those that wait for changes; the caller holds commitMu.
 func (p *Platform) record(t platformTransaction, version store.Revision) {
 	for _, set := range t.Set {
