--- a/placement/doc.go
+++ b/placement/doc.go
@@ -7,11 +7,11 @@
 //	p := placement.New(placement.DefaultSettings(), zone, random)
 //	p.Update(now, instances, routes)
 //	if !p.Admit(route) { refuse }
-//	target, ok := p.Root(route, service, cost, excluded)
+//	target, ok := p.Root(route, service, excluded)
 //	target, ok = p.Call(service, excluded)
 //
 // Admit gives the capacity of each service to the routes in the order of their rank. Root keeps a tree in the own
-// availability zone unless the clients of the zone ask for more than its tightest service can carry, or the tree would be too
-// slow there; it moves whole trees, and only the share that exceeds the zone. Call keeps calls in the zone in which they are
-// made, unless the queue there is clearly longer than elsewhere.
+// availability zone unless the zone has no room for it, or the tree would be too slow there; it moves whole trees, and only the
+// share that does not fit. Routes with the least time to spare choose their zones first. Call keeps calls in the zone in which
+// they are made, unless the queue there is clearly longer than elsewhere.
 package placement
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -117,18 +117,19 @@
 // that those with more leave the fast zones to them. A tree stays in the zone of its client while that has room.
 func (p *Planner) layOut(routes map[routing.RouteID]Route, rates map[routing.RouteID]zoneRates) {
 	p.places = map[routing.RouteID][]place{}
-	rooms := p.rooms(routes, rates)
+	free := p.plannedSlots(routes, rates)
 	order := slices.Collect(maps.Keys(routes))
 	slices.SortFunc(order, func(a, b routing.RouteID) int {
 		return cmp.Or(cmp.Compare(routes[b].tightness(), routes[a].tightness()), cmp.Compare(routes[a].Rank, routes[b].Rank), cmp.Compare(a, b))
 	})
 	for _, id := range order {
-		p.layOutRoute(id, routes[id], rates[id], rooms)
+		p.layOutRoute(id, routes[id], rates[id], free)
 	}
 }
 
-// rooms returns the slots of each service and zone that may be planned. Zones are filled alike, but for what KeepLoad allows.
-func (p *Planner) rooms(routes map[routing.RouteID]Route, rates map[routing.RouteID]zoneRates) rooms {
+// plannedSlots returns the slots of each service and zone that may be planned. Zones are filled alike, but for what KeepLoad
+// allows.
+func (p *Planner) plannedSlots(routes map[routing.RouteID]Route, rates map[routing.RouteID]zoneRates) freeSlots {
 	wanted := map[request.ServiceID]float64{}
 	for _, id := range slices.Sorted(maps.Keys(routes)) {
 		for _, zone := range sortedZones(rates[id]) {
@@ -137,7 +138,7 @@
 			}
 		}
 	}
-	out := rooms{}
+	out := freeSlots{}
 	for s, byZone := range p.zones {
 		total := 0.0
 		for _, zone := range sortedZones(byZone) {
@@ -151,8 +152,8 @@
 	return out
 }
 
-// layOutRoute places the trees of one route and takes their room.
-func (p *Planner) layOutRoute(id routing.RouteID, r Route, rate zoneRates, left rooms) {
+// layOutRoute places the trees of one route and takes their slots.
+func (p *Planner) layOutRoute(id routing.RouteID, r Route, rate zoneRates, free freeSlots) {
 	fits := p.fittingZones(r)
 	rest := zoneRates{}
 	for _, zone := range p.zoneNames {
@@ -162,8 +163,8 @@
 		}
 		stays := 0.0
 		if fits[zone] {
-			stays = min(wanted, left.trees(r, zone))
-			p.take(left, r, zone, stays)
+			stays = min(wanted, free.trees(r, zone))
+			p.take(free, r, zone, stays)
 		}
 		rest[zone] = wanted - stays
 	}
@@ -172,7 +173,7 @@
 	for _, zone := range p.zoneNames {
 		needed += rest[zone]
 		if fits[zone] {
-			room[zone] = left.trees(r, zone)
+			room[zone] = free.trees(r, zone)
 			total += room[zone]
 		}
 	}
@@ -183,38 +184,38 @@
 	for _, zone := range p.zoneNames {
 		if room[zone] > 0 {
 			part := room[zone] / total
-			p.take(left, r, zone, moved*needed*part)
+			p.take(free, r, zone, moved*needed*part)
 			if zone != p.zone && rest[p.zone] > 0 {
 				p.places[id] = append(p.places[id], place{zone, moved * part * rest[p.zone] / (p.shares[id].Fraction * rate[p.zone])})
 			}
 		}
 		// What fits nowhere stays and waits.
-		p.take(left, r, zone, (1-moved)*rest[zone])
+		p.take(free, r, zone, (1-moved)*rest[zone])
 	}
 }
 
 // take notes that trees of a route begin in a zone.
-func (p *Planner) take(left rooms, r Route, zone request.ZoneID, perSecond float64) {
+func (p *Planner) take(free freeSlots, r Route, zone request.ZoneID, perSecond float64) {
 	if perSecond <= 0 {
 		return
 	}
 	for s, held := range r.Cost {
 		p.zoneOf(s, zone).demand += perSecond * held.Seconds()
-		if left[s] != nil {
-			left[s][zone] -= perSecond * held.Seconds()
+		if free[s] != nil {
+			free[s][zone] -= perSecond * held.Seconds()
 		}
 	}
 }
 
-// rooms are the slots that are left in each service and zone.
-type rooms map[request.ServiceID]map[request.ZoneID]float64
+// freeSlots are the slots that no tree has taken yet, for each service and zone.
+type freeSlots map[request.ServiceID]map[request.ZoneID]float64
 
-// trees returns the trees a second that the room of a zone carries.
-func (l rooms) trees(r Route, zone request.ZoneID) float64 {
+// trees returns the trees a second that the free slots of a zone carry.
+func (f freeSlots) trees(r Route, zone request.ZoneID) float64 {
 	out := math.Inf(1)
 	for s, held := range r.Cost {
 		if held > 0 {
-			out = min(out, max(0, l[s][zone]/held.Seconds()))
+			out = min(out, max(0, f[s][zone]/held.Seconds()))
 		}
 	}
 	return out
