--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -158,3 +158,22 @@
 		r.Open(0, "club", request.NewID(random), 1, 3)
 	}
 }
+
+// TestRatioLeft guards against a count of what is left that differs from what is allowed.
+func TestRatioLeft(t *testing.T) {
+	c := qt.New(t)
+	r := budget.NewRatio(budget.RatioSettings{SuccessesPerRetry: 5, Floor: 2, FloorInterval: time.Second})
+	for range 17 {
+		r.Succeeded(0, "racedesk")
+	}
+	for now := request.Instant(0); ; now = now.Add(time.Millisecond) {
+		left := r.Left(now, "racedesk")
+		allowed := r.Allow(now, "racedesk")
+		c.Assert(allowed, qt.Equals, left > 0)
+		if !allowed {
+			break
+		}
+		c.Check(r.Left(now, "racedesk"), qt.Equals, left-1)
+	}
+	c.Check(r.Left(request.Instant(time.Second), "racedesk"), qt.Equals, uint32(1))
+}
--- a/budget/ratio.go
+++ b/budget/ratio.go
@@ -81,6 +81,14 @@
 	return true
 }
 
+// Left returns the number of retries that the service may have now.
+func (r *Ratio) Left(now request.Instant, service request.ServiceID) uint32 {
+	a := r.service(now, service)
+	settings := r.settings.withDefaults()
+	a.refill(now, settings)
+	return a.successes/settings.SuccessesPerRetry + a.floor
+}
+
 func (r *Ratio) service(now request.Instant, service request.ServiceID) *allowance {
 	if a := r.services[service]; a != nil {
 		return a
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -233,7 +233,9 @@
 	out := make([]Instance, 0, len(t.members))
 	for a, m := range t.members {
 		if m.known {
-			out = append(out, Instance{Entry: m.entry, IsSelf: a == t.self, IsFresh: t.isFresh(now, m), IsBroken: now < m.broken})
+			e := m.entry
+			e.Age = now.Sub(m.learned)
+			out = append(out, Instance{Entry: e, IsSelf: a == t.self, IsFresh: t.isFresh(now, m), IsBroken: now < m.broken})
 		}
 	}
 	slices.SortFunc(out, func(a, b Instance) int { return a.Address.Compare(b.Address) })
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -78,7 +78,10 @@
 	for _, m := range messages {
 		n.sendEntries(m)
 	}
-	n.metrics.gauge(entry, n.round.load, instances)
+	n.ratioMu.Lock()
+	retriesLeft := n.ratio.Left(now, entry.Service)
+	n.ratioMu.Unlock()
+	n.metrics.gauge(entry, n.round.load, instances, retriesLeft)
 	if n.round.number%planLines == 0 {
 		n.logPlan()
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -350,3 +350,13 @@
 		return costs[routing.IDOf("birds")]["registry"] > 0
 	})
 }
+
+// TestMetrics guards against a node that does not show its calls to the store, the age of what it knows and its allowance.
+func TestMetrics(t *testing.T) {
+	w := newWorld(t, ledger(1, birds()))
+	a := w.start("registry", "a", 0)
+	w.settle("/birds/1")
+	for _, name := range []string{"store.configuration.ok", "store.register.ok", "store.costs.ok", "oldest_entry_ms", "retries_left", "nodes_fresh"} {
+		w.eventually(name, func() bool { return strings.Contains(w.metrics(a), name) })
+	}
+}
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -1,12 +1,16 @@
 package mesh
 
 import (
+	"context"
 	"strconv"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/sapphiretack/sapphiretack/fleet"
 	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/routing"
+	"github.com/sapphiretack/sapphiretack/tree"
 )
 
 // metrics are the counters and histograms of a node.
@@ -17,7 +21,7 @@
 	gossipSent                            gometrics.Counter
 	queueTime                             gometrics.Timer
 	running, limit, load, version, health gometrics.Gauge
-	fresh                                 gometrics.Gauge
+	fresh, oldest, allowance              gometrics.Gauge
 }
 
 func newMetrics() *metrics {
@@ -31,6 +35,7 @@
 		queueTime: gometrics.GetOrRegisterTimer("gate_queue_time", r),
 		running:   gauge("gate_active"), limit: gauge("gate_limit"), load: gauge("gate_load_thousandths"),
 		version: gauge("config_version"), health: gauge("backend_health"), fresh: gauge("nodes_fresh"),
+		oldest: gauge("oldest_entry_ms"), allowance: gauge("retries_left"),
 	}
 }
 
@@ -57,13 +62,18 @@
 	gometrics.GetOrRegisterTimer(prefix+"time", m.registry).Update(now.Sub(j.arrived))
 }
 
-func (m *metrics) gauge(e fleet.Entry, load float64, instances []fleet.Instance) {
+// gauge records the state of a round; retriesLeft is the allowance of the own service.
+func (m *metrics) gauge(e fleet.Entry, load float64, instances []fleet.Instance, retriesLeft uint32) {
 	fresh := 0
+	oldest := time.Duration(0)
 	for _, i := range instances {
 		if i.IsFresh {
 			fresh++
+			oldest = max(oldest, i.Age)
 		}
 	}
+	m.oldest.Update(oldest.Milliseconds())
+	m.allowance.Update(int64(retriesLeft))
 	m.limit.Update(int64(e.Limit))
 	m.running.Update(int64(load * float64(e.Limit)))
 	m.load.Update(int64(1000 * load))
@@ -71,3 +81,47 @@
 	m.health.Update(int64(e.Health))
 	m.fresh.Update(int64(fresh))
 }
+
+// countedDirectory counts the calls to the store by result.
+type countedDirectory struct {
+	Directory
+	metrics *metrics
+}
+
+// count counts a call and returns its error.
+func (d countedDirectory) count(call string, err error) error {
+	result := ".ok"
+	if err != nil {
+		result = ".failed"
+	}
+	gometrics.GetOrRegisterCounter("store."+call+result, d.metrics.registry).Inc(1)
+	return err
+}
+
+func (d countedDirectory) Configuration(ctx context.Context) (Update, error) {
+	u, err := d.Directory.Configuration(ctx)
+	return u, d.count("configuration", err)
+}
+
+func (d countedDirectory) Watch(ctx context.Context, cursor uint64) (Update, error) {
+	u, err := d.Directory.Watch(ctx, cursor)
+	return u, d.count("watch", err)
+}
+
+func (d countedDirectory) Register(ctx context.Context, a fleet.Address) error {
+	return d.count("register", d.Directory.Register(ctx, a))
+}
+
+func (d countedDirectory) Addresses(ctx context.Context) ([]fleet.Address, error) {
+	addresses, err := d.Directory.Addresses(ctx)
+	return addresses, d.count("addresses", err)
+}
+
+func (d countedDirectory) Costs(ctx context.Context) (map[routing.RouteID]tree.Cost, error) {
+	costs, err := d.Directory.Costs(ctx)
+	return costs, d.count("costs", err)
+}
+
+func (d countedDirectory) KeepCosts(ctx context.Context, costs map[routing.RouteID]tree.Cost) error {
+	return d.count("keep_costs", d.Directory.KeepCosts(ctx, costs))
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -106,7 +106,7 @@
 	random := request.NewRandom()
 	s := d.Settings
 	n := &Node{
-		settings: s, dialect: d.Dialect, directory: d.Directory, log: d.Log, control: d.Control, ready: d.Ready, reload: d.Reload,
+		settings: s, dialect: d.Dialect, log: d.Log, control: d.Control, ready: d.Ready, reload: d.Reload,
 		start:       start,
 		incarnation: request.NewIncarnation(start, random),
 		shares:      routing.NewShares(),
@@ -120,6 +120,7 @@
 		ratio:       budget.NewRatio(budget.RatioSettings{SuccessesPerRetry: retryShare, Floor: 1, FloorInterval: s.RetryWindow}),
 		peers:       newPeerTransport(),
 	}
+	n.directory = countedDirectory{d.Directory, n.metrics}
 	n.origin.Store(&s.Service)
 	n.backend = newBackend(n)
 	n.ingress = ingress.New(ingress.Settings{Handler: n, Limits: n.clientLimits, Log: d.Log})
--- a/mesh/world_test.go
+++ b/mesh/world_test.go
@@ -141,7 +141,7 @@
 func newBenchWorld(t testing.TB, c *routing.Configuration) *world {
 	w := &world{c: qt.New(t), directory: newDirectory(), ports: map[string]uint16{}, network: byte(worlds.Add(1))}
 	w.directory.set(c)
-	for i, name := range []string{"outbound", "inbound", "gossip", "ready", "control", "application"} {
+	for i, name := range []string{"outbound", "inbound", "gossip", "ready", "control", "application", "metrics"} {
 		w.ports[name] = basePort + uint16(i)
 	}
 	w.c.Cleanup(func() {
@@ -172,7 +172,7 @@
 	m.node = mesh.New(mesh.Dependencies{
 		Settings: mesh.Settings{
 			Name: instance, Zone: request.ZoneID(zone), Service: request.ServiceID(service), Address: address, Backend: at("application"),
-			Outbound: at("outbound"), Inbound: at("inbound"), Gossip: at("gossip"), Readiness: at("ready"), Control: at("control"),
+			Outbound: at("outbound"), Inbound: at("inbound"), Gossip: at("gossip"), Readiness: at("ready"), Control: at("control"), Metrics: at("metrics"),
 			DrainTime: 400 * time.Millisecond, StopTime: time.Second, RetryWindow: 10 * time.Second, RetrySlack: 100,
 		},
 		Dialect: platform.Headers{}, Directory: w.directory, Log: zerolog.Nop(),
@@ -201,6 +201,16 @@
 	w.c.Fatalf("%s: not within 10 s", what)
 }
 
+// metrics returns what the metrics address of a machine serves.
+func (w *world) metrics(m *machine) string {
+	response, err := http.Get("http://" + netip.AddrPortFrom(m.address, w.ports["metrics"]).String() + "/")
+	w.c.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	w.c.Assert(err, qt.IsNil)
+	return string(body)
+}
+
 // reply is what a client received.
 type reply struct {
 	status int
