--- a/experiment/graph.go
+++ b/experiment/graph.go
@@ -53,15 +53,15 @@
 
 // Graphs are the call graphs of both users, at their present size and after their growth.
 var Graphs = []*Graph{
-	ledgerGraph("golub-ledger", 1, 3, [4]int{108, 108, 108, 36}, [4]int{3, 3, 3, 3}),
+	ledgerGraph("golub-ledger", 1, [4]int{108, 108, 108, 36}, [4]int{3, 3, 3, 3}),
 	orderGraph("alg-sicilia", 1, []request.ZoneID{"palermo", "catania", "siracusa"}, [4]int{261, 261, 261, 29}, [4]int{3, 3, 3, 3}),
-	ledgerGraph("golub-ledger-grown", 7.9, 3, [4]int{78, 117, 78, 110}, [4]int{33, 18, 28, 6}),
+	ledgerGraph("golub-ledger-grown", 7.9, [4]int{78, 117, 78, 110}, [4]int{33, 18, 28, 6}),
 	orderGraph("alg-sicilia-grown", 3.4, []request.ZoneID{"palermo", "catania", "siracusa", "trapani"}, [4]int{92, 129, 96, 133}, [4]int{24, 17, 23, 4}),
 }
 
 // ledgerGraph is the race ledger at a multiple of its present load.
-func ledgerGraph(name string, load float64, zones int, slots, instances [4]int) *Graph {
-	g := &Graph{Name: name, Zones: []request.ZoneID{"plovdiv-a", "plovdiv-b", "stara-zagora"}[:zones], ZoneDelay: 900 * time.Microsecond}
+func ledgerGraph(name string, load float64, slots, instances [4]int) *Graph {
+	g := &Graph{Name: name, Zones: []request.ZoneID{"plovdiv-a", "plovdiv-b", "stara-zagora"}, ZoneDelay: 900 * time.Microsecond}
 	for i, s := range []request.ServiceID{"registry", "transfers", "archives", "racedesk"} {
 		g.Services = append(g.Services, GraphService{Name: s, Instances: instances[i], Slots: slots[i]})
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -16,31 +16,40 @@
 
 // Sent is a request of a client.
 type Sent struct {
-	ID, Method, Path, Body string
+	ID     string `json:"id"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
 	// IsUnsafe is set if it may run at most once.
-	IsUnsafe bool
+	IsUnsafe bool `json:"is_unsafe"`
 }
 
 // Got is how a request ended at its client.
 type Got struct {
-	ID string
+	ID string `json:"id"`
 	// Status is 0 if the connection ended without a whole response.
-	Status int
-	// AnswerID and Body are those of the response; IsSealed is set if it bears a backend server's signature.
-	AnswerID, Body string
-	IsSealed       bool
+	Status int `json:"status"`
+	// AnswerID is the identifier that the response names.
+	AnswerID string `json:"answer_id"`
+	Body     string `json:"body"`
+	// IsSealed is set if the response bears a backend server's signature.
+	IsSealed bool `json:"is_sealed"`
 }
 
 // Ran is a request that a backend server began to work on.
 type Ran struct {
-	ID, Instance, Method, Path, Body string
-	At                               time.Time
+	ID       string    `json:"id"`
+	Instance string    `json:"instance"`
+	Method   string    `json:"method"`
+	Path     string    `json:"path"`
+	Body     string    `json:"body"`
+	At       time.Time `json:"at"`
 }
 
 // Left is the acknowledged departure of a backend server.
 type Left struct {
-	Instance string
-	At       time.Time
+	Instance string    `json:"instance"`
+	At       time.Time `json:"at"`
 }
 
 // History collects what callers and backend servers saw; it is safe for concurrent use.
@@ -93,7 +102,8 @@
 
 // Violation is a broken promise.
 type Violation struct {
-	Rule, Detail string
+	Rule   string `json:"rule"`
+	Detail string `json:"detail"`
 }
 
 // String returns the violation as a line of a journal.
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -15,12 +15,12 @@
 
 // event is one line of a scripted history.
 type event struct {
-	Sent *soak.Sent
-	Got  *soak.Got
-	Ran  *soak.Ran
-	Left *soak.Left
+	Sent *soak.Sent `json:"sent"`
+	Got  *soak.Got  `json:"got"`
+	Ran  *soak.Ran  `json:"ran"`
+	Left *soak.Left `json:"left"`
 	// AfterMS is the time of a run or of a departure.
-	AfterMS int
+	AfterMS int `json:"after_ms"`
 }
 
 // TestCheck guards against a check that does not notice what it is for, and against one that accuses what is allowed.
--- a/soak/machine.go
+++ b/soak/machine.go
@@ -132,7 +132,9 @@
 	m.applicationMu.Lock()
 	defer m.applicationMu.Unlock()
 	m.isGone = true
-	_ = m.server.Close()
+	if m.server != nil {
+		_ = m.server.Close()
+	}
 }
 
 func (m *machine) spoil(f standin.ApplicationFault) {
--- a/soak/run.go
+++ b/soak/run.go
@@ -126,9 +126,9 @@
 		r.group.Go(func() error { m.reportLoop(ctx); return nil })
 	}
 	if startError == nil {
-		r.recover(ctx, "start", startTime)
+		r.awaitService(ctx, "start", startTime)
 		r.playFaults(ctx, steps)
-		r.recover(ctx, "recover", recoveryTime)
+		r.awaitService(ctx, "recover", recoveryTime)
 	}
 	r.over.Store(true)
 	cancel()
@@ -247,8 +247,8 @@
 	return nil
 }
 
-// recover waits until requests succeed again at all machines, and notes if that takes too long.
-func (r *run) recover(ctx context.Context, rule string, limit time.Duration) {
+// awaitService waits until requests succeed again at all machines, and notes if that takes too long.
+func (r *run) awaitService(ctx context.Context, rule string, limit time.Duration) {
 	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
 	sound, last := 0, Got{}
 	begin := time.Now()
