--- a/load/caller.go
+++ b/load/caller.go
@@ -64,7 +64,7 @@
 	defer c.close(ctx)
 	// Callers start at different times, so that they do not send in step.
 	next := time.Now().Add(time.Duration(c.random.Int64N(int64(c.settings.Interval))))
-	for next.Before(end) && wait(ctx, time.Until(next)) {
+	for next.Before(end) && request.Sleep(ctx, time.Until(next)) {
 		c.request(ctx)
 		next = next.Add(c.settings.Interval)
 		if now := time.Now(); next.Before(now) {
@@ -107,7 +107,7 @@
 		if d.move {
 			c.target = (c.target + 1) % len(c.settings.Targets)
 		}
-		if !d.resend || !wait(ctx, d.wait) {
+		if !d.resend || !request.Sleep(ctx, d.wait) {
 			if lost && r.reason == reasonUnsent {
 				// An earlier send may have run.
 				r.outcome = request.Unknown
@@ -182,15 +182,3 @@
 	}
 	return result == nil || json.Unmarshal(body, result) == nil
 }
-
-// wait returns false if the context ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/load/send.go
+++ b/load/send.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -84,8 +83,7 @@
 
 // failure tells a request that was never sent from one whose answer was lost.
 func failure(err error) reply {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+	if request.IsUnsent(err) {
 		return reply{outcome: request.NotRun, reason: reasonUnsent}
 	}
 	return reply{reason: reasonLost}
--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -156,17 +155,12 @@
 	n.fleet.Break(n.now(), to, breakTime)
 	n.fleetMu.Unlock()
 	n.metrics.peerFailures.Inc(1)
-	if isDialError(err) {
+	if request.IsUnsent(err) {
 		return notRun{reason: gate.Down}
 	}
 	return broken{err: err}
 }
 
-func isDialError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 func (n *Node) readPeer(response *http.Response) outcome {
 	result := response.Header.Get(resultHeader)
 	kind, rest, _ := strings.Cut(result, " ")
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -252,7 +252,7 @@
 	response, err := b.transport.Load().RoundTrip(r)
 	if err != nil {
 		cancel()
-		if isDialError(err) {
+		if request.IsUnsent(err) {
 			b.setDown(p, err)
 			return notRun{reason: gate.Down}
 		}
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/sapphiretack/sapphiretack/fleet"
+	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/routing"
 )
 
@@ -71,16 +72,7 @@
 	d := *backoff/2 + time.Duration(n.random.Int64N(int64(*backoff)))
 	n.planMu.Unlock()
 	*backoff = min(2**backoff, maxBackoff)
-	wait(ctx, d)
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	request.Sleep(ctx, d)
 }
 
 // offer puts a configuration into force if it is newer.
@@ -101,7 +93,7 @@
 	}
 	n.fetches.Go(func() error {
 		defer n.fetching.Store(false)
-		wait(ctx, fetchDelay)
+		request.Sleep(ctx, fetchDelay)
 		if n.configuration.Version() >= version {
 			return nil
 		}
@@ -187,7 +179,7 @@
 			n.log.Info().Str("event", "addresses").Int("nodes", len(addresses)).Msg("the addresses of other nodes are known")
 		}
 		done++
-		wait(ctx, registerInterval*time.Duration(done))
+		request.Sleep(ctx, registerInterval*time.Duration(done))
 	}
 	<-ctx.Done()
 	return nil
--- a/node/backend.go
+++ b/node/backend.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -131,8 +130,7 @@
 
 // dispatchFailure classifies a transport error; only an error before a connection existed proves that nothing ran.
 func dispatchFailure(ctx context.Context, err error) dispatchResult {
-	var opError *net.OpError
-	if errors.As(err, &opError) && opError.Op == "dial" {
+	if request.IsUnsent(err) {
 		return dispatchResult{outcome: request.NotRun, reason: request.BackendCrashed}
 	}
 	if ctx.Err() != nil {
--- a/node/configure.go
+++ b/node/configure.go
@@ -43,7 +43,7 @@
 	}
 	n.members.handle(member.Bootstrap{Rows: seeds})
 	// Peers that answer the first messages count for the start rule.
-	sleep(ctx, joinTime)
+	request.Sleep(ctx, joinTime)
 	n.introduced.Store(true)
 	n.membersChanged()
 	for {
@@ -52,7 +52,7 @@
 			break
 		}
 		n.log.Warn().Err(err).Msg("the platform cannot be reached; members are found through seeds and gossip only")
-		sleep(ctx, announceInterval)
+		request.Sleep(ctx, announceInterval)
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/node/run.go
+++ b/node/run.go
@@ -82,27 +82,18 @@
 	n.isLeft.Store(true)
 	n.log.Info().Msg("leaving; new work is refused and work in flight is finished")
 	n.members.notifyNow(ctx, member.Leave{Sources: n.sources.recent(n.clock.now())})
-	sleep(ctx, leaveTime)
+	request.Sleep(ctx, leaveTime)
 	n.destination.handle(admission.Drain{})
 	select {
 	case <-n.destination.drained:
 	case <-ctx.Done():
 	}
 	for ctx.Err() == nil && (n.open.Load() > 0 || n.executions.count() > 0 || n.sessions.running() > 0) {
-		sleep(ctx, drainInterval)
+		request.Sleep(ctx, drainInterval)
 	}
 	n.log.Info().Dur("took", time.Since(begin)).Int64("open", n.open.Load()).Msg("drained")
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // listenerSet holds the open listeners of a node.
 type listenerSet struct {
 	caller, peer, loopback, operator net.Listener
--- a/operator/client.go
+++ b/operator/client.go
@@ -14,6 +14,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/sapphiretack/sapphiretack/request"
 )
 
 const (
@@ -95,7 +97,7 @@
 	lost := false
 	var last *Error
 	for attempt := range maxAttempts {
-		if attempt > 0 && !wait(ctx, firstWait<<(attempt-1)) {
+		if attempt > 0 && !request.Sleep(ctx, firstWait<<(attempt-1)) {
 			break
 		}
 		err := c.once(ctx, c.addresses[attempt%len(c.addresses)], method, path, body, result)
@@ -172,15 +174,3 @@
 	}
 	return &Error{Kind: kind, Message: fmt.Sprintf("%s responded with status %d: %s", address, status, strings.TrimSpace(string(data))), Remedy: "check that it is an operator listener, and give the authorities if it uses TLS"}
 }
-
-// wait returns false if the context ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- /dev/null
+++ b/request/wait.go
@@ -0,0 +1,26 @@
+package request
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+)
+
+// Sleep waits for the time and reports whether it has passed; it is false if the context ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// IsUnsent reports whether an error of a transport proves that nothing was sent: the connection was never made.
+func IsUnsent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
--- a/soak/client.go
+++ b/soak/client.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/standin"
 )
 
@@ -44,7 +45,7 @@
 		g := exchange(transport, m.at(0, outboundPort), s)
 		r.history.Get(g)
 		r.count(g)
-		wait(ctx, clientPause)
+		request.Sleep(ctx, clientPause)
 	}
 }
 
--- a/soak/machine.go
+++ b/soak/machine.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/standin"
 )
 
@@ -165,7 +166,7 @@
 		if !isGone && report.Send(ctx, m.at(0, controlPort)) && report.IsLeaving {
 			m.run.history.Leave(Left{report.Instance, time.Now()})
 		}
-		wait(ctx, reportInterval)
+		request.Sleep(ctx, reportInterval)
 	}
 }
 
@@ -260,7 +261,7 @@
 	m.frozen++
 	m.mu.Unlock()
 	m.signal(syscall.SIGSTOP)
-	wait(ctx, d)
+	request.Sleep(ctx, d)
 	m.signal(syscall.SIGCONT)
 }
 
@@ -283,13 +284,3 @@
 	}
 	return err
 }
-
-// wait returns after the time, or when the context ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/soak/run.go
+++ b/soak/run.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/standin"
 )
 
@@ -163,7 +164,7 @@
 	})
 	r.mu.Unlock()
 	for ctx.Err() == nil && r.platform.Set(ctx, "op", "config", document) != nil {
-		wait(ctx, reportInterval)
+		request.Sleep(ctx, reportInterval)
 	}
 }
 
@@ -177,10 +178,10 @@
 	}
 	begin := time.Now()
 	for _, s := range steps {
-		wait(ctx, s.At-time.Since(begin))
+		request.Sleep(ctx, s.At-time.Since(begin))
 		faults.Go(func() error { return r.inject(ctx, s.Fault) })
 	}
-	wait(ctx, r.settings.Length-time.Since(begin))
+	request.Sleep(ctx, r.settings.Length-time.Since(begin))
 	if err := faults.Wait(); err != nil {
 		r.violate("soak", err.Error())
 	}
@@ -198,14 +199,14 @@
 	case Kill:
 		m := r.machines[f.Machine]
 		<-m.signal(syscall.SIGKILL)
-		wait(ctx, f.Pause)
+		request.Sleep(ctx, f.Pause)
 		return m.start()
 	case KillAll:
 		var ends []<-chan struct{}
 		for _, m := range r.machines {
 			ends = append(ends, m.signal(syscall.SIGKILL))
 		}
-		wait(ctx, f.Pause)
+		request.Sleep(ctx, f.Pause)
 		for i, m := range r.machines {
 			<-ends[i]
 			if err := m.start(); err != nil {
@@ -216,29 +217,29 @@
 		r.machines[f.Machine].freeze(ctx, f.For)
 	case Link:
 		r.machines[f.Machine].peers.set(f.How)
-		wait(ctx, f.For)
+		request.Sleep(ctx, f.For)
 		r.machines[f.Machine].peers.set(LinkSound)
 	case StoreLink:
 		r.machines[f.Machine].store.set(f.How)
-		wait(ctx, f.For)
+		request.Sleep(ctx, f.For)
 		r.machines[f.Machine].store.set(LinkSound)
 	case Store:
 		r.platform.SetFaults(f.How)
-		wait(ctx, f.For)
+		request.Sleep(ctx, f.For)
 		r.platform.SetFaults(standin.PlatformFaults{})
 	case Spoil:
 		r.machines[f.Machine].spoil(f.How)
-		wait(ctx, f.For)
+		request.Sleep(ctx, f.For)
 		r.machines[f.Machine].spoil(standin.ApplicationHealthy)
 	case Replace:
 		m := r.machines[f.Machine]
 		m.endApplication()
-		wait(ctx, f.Pause)
+		request.Sleep(ctx, f.Pause)
 		return m.startApplication()
 	case Leave:
 		m := r.machines[f.Machine]
 		m.leave()
-		wait(ctx, f.For+drainTime)
+		request.Sleep(ctx, f.For+drainTime)
 		m.endApplication()
 		return m.startApplication()
 	case Configure:
@@ -263,7 +264,7 @@
 		r.history.Get(last)
 		if sound++; last.Status != http.StatusOK {
 			sound = 0
-			wait(ctx, clientPause)
+			request.Sleep(ctx, clientPause)
 		}
 	}
 }
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/sapphiretack/sapphiretack/request"
 )
 
 // The headers that a backend server and its node exchange, and the header that marks a request that crashes it.
@@ -265,7 +267,7 @@
 	encoder := json.NewEncoder(w)
 	flusher := http.NewResponseController(w)
 	for i := range parts {
-		if !sleep(ctx, share) {
+		if !request.Sleep(ctx, share) {
 			// Ends the connection, so that a part of an answer is not taken for the whole.
 			panic(http.ErrAbortHandler)
 		}
@@ -286,15 +288,3 @@
 	}
 	return 1 + (coldFactor-1)*float64(remaining)/float64(b.settings.ColdStart)
 }
-
-// sleep returns false if the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
