mesh: derive what can be derived, and share the loops of the node

The state of an attempt that waits is registered before the gate's actions are applied, so no look through them is needed; whether a body can be sent again follows from the body; three loops share their ticker. The failure counts of an earlier lifetime are reset under their own lock: replacing the pointer raced with runs that were counting. In placement one pass finds the least loaded zone and its load.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -48,7 +48,7 @@
 	health   fleet.Health
 	isLeft   bool // the lifetime has announced that it leaves
 	address  netip.AddrPort
-	failing  *failing
+	failing  failing
 
 	transport atomic.Pointer[http.Transport]
 	idle      atomic.Int64 // idle time of the transport
@@ -57,7 +57,7 @@
 func newBackend(n *Node) *backend {
 	b := &backend{
 		node: n, gate: gate.New(gate.DefaultSettings(), defaultSlots),
-		waiting: map[gate.Number]chan gate.Action{}, address: n.settings.Backend, failing: &failing{},
+		waiting: map[gate.Number]chan gate.Action{}, address: n.settings.Backend,
 	}
 	b.gate.Close(gate.Unknown)
 	b.setIdle(backendIdle)
@@ -112,6 +112,11 @@
 	number := b.next
 	arrival := gate.Attempt{Number: number, Route: a.route, Rank: a.rank, IsCall: a.isCall, Deadline: a.deadline}
 	d, actions := b.gate.Arrive(n.now(), arrival)
+	var decided chan gate.Action
+	if d.Kind == gate.Wait {
+		decided = make(chan gate.Action, 1)
+		b.waiting[number] = decided // the actions may start it at once
+	}
 	b.apply(actions)
 	place := admission{number: number, began: n.now(), instance: b.lifetime.Instance, address: b.address}
 	switch d.Kind {
@@ -122,12 +127,6 @@
 		b.mu.Unlock()
 		return place, nil
 	}
-	decided := make(chan gate.Action, 1)
-	if isStarted(actions, number) {
-		decided <- gate.Start{Number: number}
-	} else {
-		b.waiting[number] = decided
-	}
 	b.mu.Unlock()
 	select {
 	case action := <-decided:
@@ -147,15 +146,6 @@
 	return place, nil
 }
 
-func isStarted(actions []gate.Action, number gate.Number) bool {
-	for _, action := range actions {
-		if s, ok := action.(gate.Start); ok && s.Number == number {
-			return true
-		}
-	}
-	return false
-}
-
 // cancel removes an attempt that waits and reports whether it was waiting.
 func (b *backend) cancel(number gate.Number) bool {
 	b.mu.Lock()
@@ -346,7 +336,7 @@
 		n.log.Info().Str("event", "lifetime").Str("instance_id", string(r.Instance)).Str("service", string(r.Service)).
 			Str("before", string(b.lifetime.Instance)).Int("slots", r.Slots).Dur("cold", r.ColdFor).Msg("the backend server has a new lifetime")
 		b.isLeft = false
-		b.failing = &failing{}
+		b.failing.reset()
 	}
 	isFirst := isNew || !b.hasSlots
 	b.lifetime, b.hasSlots = r, r.Slots > 0
@@ -452,21 +442,14 @@
 
 // probeLoop checks a backend server that is down or unknown, so that it need not wait for the next report.
 func (b *backend) probeLoop(ctx context.Context) error {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return every(ctx, probeInterval, func() {
 		b.mu.Lock()
 		wanted := b.health == fleet.Down || b.health == fleet.Absent
 		b.mu.Unlock()
 		if wanted && !b.node.isStop.Load() {
 			b.probe(ctx)
 		}
-	}
+	})
 }
 
 func (b *backend) probe(ctx context.Context) {
@@ -529,6 +512,13 @@
 	failingSamples = 8
 )
 
+// reset forgets the attempts of an earlier lifetime.
+func (f *failing) reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.since, f.total, f.failed, f.share = 0, 0, 0, 0
+}
+
 func (f *failing) observe(now request.Instant, isFailure bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -558,21 +548,21 @@
 	return uint8(100 * f.share)
 }
 
-// keepBody reads the body of a request that is short enough to be sent again.
-func keepBody(r *http.Request) (io.Reader, bool, error) {
+// keepBody reads the body of a request that is short enough to be sent again, which is a bytes.Reader then.
+func keepBody(r *http.Request) (io.Reader, error) {
 	if r.ContentLength == 0 {
-		return nil, true, nil
+		return nil, nil
 	}
 	if r.ContentLength < 0 || r.ContentLength > replayableBody {
-		return r.Body, false, nil
+		return r.Body, nil
 	}
 	data := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, data); err != nil {
-		return nil, false, err
+		return nil, err
 	}
 	// The end of the body is read too, so that the connection notices it.
 	_, _ = r.Body.Read(make([]byte, 1))
-	return bytes.NewReader(data), true, nil
+	return bytes.NewReader(data), nil
 }
 
 // entry describes the backend server for other nodes; the caller fills in the rest.
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -36,14 +36,20 @@
 }
 
 func (n *Node) tickLoop(ctx context.Context) error {
-	ticker := time.NewTicker(tickInterval)
+	n.tick()
+	return every(ctx, tickInterval, n.tick)
+}
+
+// every calls a function at an interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func()) error {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
-		n.tick()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
+			f()
 		}
 	}
 }
--- a/mesh/learn.go
+++ b/mesh/learn.go
@@ -24,30 +24,23 @@
 // service for seconds.
 func (n *Node) costLoop(ctx context.Context) error {
 	known := n.readCosts(ctx)
-	ticker := time.NewTicker(costInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return every(ctx, costInterval, func() {
 		if !n.keepsCosts() {
-			continue
+			return
 		}
 		n.planMu.Lock()
 		changed := n.costs.Changed(known, costChange)
 		n.planMu.Unlock()
 		if len(changed) == 0 {
-			continue
+			return
 		}
 		if err := n.directory.KeepCosts(ctx, changed); err != nil {
 			n.log.Info().Str("event", "costs_not_kept").Err(err).Int("routes", len(changed)).Msg("the costs of routes cannot be written; the next round tries again")
-			continue
+			return
 		}
 		maps.Copy(known, changed)
 		n.log.Info().Str("event", "costs_kept").Int("routes", len(changed)).Msg("the costs of routes are in the store")
-	}
+	})
 }
 
 // readCosts reads the costs that other nodes have learned; the result is empty if the context ends before.
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -31,14 +31,13 @@
 // journey is one request from its arrival to its answer.
 type journey struct {
 	attempt
-	route     *routing.Route
-	service   request.ServiceID
-	parent    string // identifier of the run that makes the call, or empty
-	arrived   request.Instant
-	left      time.Duration
-	isReturn  bool
-	canReplay bool
-	replay    *bytes.Reader
+	route    *routing.Route
+	service  request.ServiceID
+	parent   string // identifier of the run that makes the call, or empty
+	arrived  request.Instant
+	left     time.Duration
+	isReturn bool
+	replay   *bytes.Reader // the body, if it can be sent again
 
 	excluded []netip.Addr
 	refusals int
@@ -69,16 +68,14 @@
 		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, j.deadline.Sub(n.now()))
-	body, canReplay, err := keepBody(r)
+	body, err := keepBody(r)
 	if err != nil {
 		cancel()
 		n.logEnd(j, "unreadable", http.StatusBadRequest, err)
 		return ingress.NewResponse(http.StatusBadRequest, nil, "the body cannot be read\n")
 	}
-	j.body, j.length, j.canReplay = body, r.ContentLength, canReplay
-	if kept, ok := body.(*bytes.Reader); ok {
-		j.replay = kept
-	}
+	j.body, j.length = body, r.ContentLength
+	j.replay, _ = body.(*bytes.Reader)
 	response := n.attemptAll(ctx, j)
 	finish := response.Finish
 	response.Finish = func(err error) {
@@ -181,6 +178,9 @@
 	}
 }
 
+// isBodySpent reports whether the request has a body that cannot be sent again.
+func (j *journey) isBodySpent() bool { return j.body != nil && j.replay == nil }
+
 // noteRefusal lets the table know at once what a refusal says of the instance.
 func (n *Node) noteRefusal(j *journey, t placement.Target, o notRun) {
 	if o.hasArrived {
@@ -205,7 +205,7 @@
 
 // mayResend reports whether an attempt that was proven not to have run is sent elsewhere.
 func (n *Node) mayResend(ctx context.Context, j *journey, o notRun) bool {
-	if ctx.Err() != nil || j.refusals >= maxRefusals || j.body != nil && !j.canReplay {
+	if ctx.Err() != nil || j.refusals >= maxRefusals || j.isBodySpent() {
 		return false
 	}
 	if !o.hasArrived {
@@ -235,7 +235,7 @@
 		return deniedByKind
 	case j.arrivals >= j.route.MaxAttempts:
 		return deniedByAttempts
-	case j.body != nil && !j.canReplay:
+	case j.isBodySpent():
 		return deniedByBody
 	case j.isRepeat:
 		return deniedByTree
@@ -250,7 +250,7 @@
 	if !o.isOwnFailure || o.status == http.StatusGatewayTimeout || j.failure != nil || !j.isRepeatable || o.length < 0 || o.length > smallBody {
 		return false
 	}
-	if j.arrivals+1 >= j.route.MaxAttempts || j.isRepeat || j.body != nil && !j.canReplay {
+	if j.arrivals+1 >= j.route.MaxAttempts || j.isRepeat || j.isBodySpent() {
 		return false
 	}
 	// A repeated run makes all its calls again; it has to have the time for that.
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sapphiretack/sapphiretack/fleet"
@@ -33,35 +34,26 @@
 	return z.load
 }
 
-func (p *Planner) bestLoad(s request.ServiceID) float64 {
-	best := math.Inf(1)
-	for _, z := range p.zones[s] {
-		if len(z.usable) > 0 {
-			best = min(best, z.load)
-		}
-	}
-	return best
-}
-
 // Call returns where a call of a running request goes: within the zone, unless it is much fuller there than elsewhere.
 func (p *Planner) Call(service request.ServiceID, excluded []netip.Addr) (Target, bool) {
 	zone := p.zone
 	if own := p.loadOf(service, zone); own > p.settings.CallLoad && !math.IsInf(own, 1) {
-		if best := p.bestLoad(service); best < 1 && p.random.Float64() < (own-best)/own {
-			zone = p.leastLoaded(service)
+		if other, best := p.leastLoaded(service); best < 1 && p.random.Float64() < (own-best)/own {
+			zone = other
 		}
 	}
 	return p.pick(service, zone, excluded)
 }
 
-func (p *Planner) leastLoaded(s request.ServiceID) request.ZoneID {
+// leastLoaded returns the zone whose instances of a service report the least load, and that load.
+func (p *Planner) leastLoaded(s request.ServiceID) (request.ZoneID, float64) {
 	best, load := p.zone, math.Inf(1)
 	for _, name := range p.zoneNames {
 		if l := p.loadOf(s, name); l < load {
 			best, load = name, l
 		}
 	}
-	return best
+	return best, load
 }
 
 // pick chooses an instance in the zone, or in the least loaded other zone, or one that is avoided, in this order.
@@ -111,7 +103,7 @@
 	}
 	for k := 0; k < len(list) && tries > 0; k++ {
 		i := list[(offset+k)%len(list)]
-		if isExcluded(p.instances[i].Address, excluded) {
+		if slices.Contains(excluded, p.instances[i].Address) {
 			continue
 		}
 		tries--
@@ -146,7 +138,7 @@
 func (p *Planner) stale(s request.ServiceID, excluded []netip.Addr) (Target, bool) {
 	best := -1
 	for i, in := range p.instances {
-		if in.Service != s || in.Health != fleet.Serving || isExcluded(in.Address, excluded) {
+		if in.Service != s || in.Health != fleet.Serving || slices.Contains(excluded, in.Address) {
 			continue
 		}
 		if best < 0 || p.random.IntN(2) == 0 {
@@ -159,15 +151,6 @@
 	return p.target(best), true
 }
 
-func isExcluded(a netip.Addr, excluded []netip.Addr) bool {
-	for _, e := range excluded {
-		if e == a {
-			return true
-		}
-	}
-	return false
-}
-
 // ReturnDelay spreads the return of refused clients over the second third of the wait that they accept.
 func ReturnDelay(left time.Duration, random *rand.Rand) time.Duration {
 	longest := left / 3
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -150,7 +150,7 @@
 		}
 	}
 	for _, s := range slices.Sorted(maps.Keys(p.zones)) {
-		for _, z := range slices.Sorted(maps.Keys(p.zones[s])) {
+		for _, z := range sortedZones(p.zones[s]) {
 			load(s, z, p.zones[s][z].load, p.zones[s][z].use())
 		}
 	}
