mesh: show the gate, the view of the fleet and late rounds in the plan lines

They now have the instances and slots that placement uses in each zone, known and fresh nodes, the age of the oldest entry, the delay of the latest round, and what the own gate did since the last line. nodes_known is a metric. No decision changes.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -49,6 +49,7 @@
 	isLeft   bool // the lifetime has announced that it leaves
 	address  netip.AddrPort
 	failing  failing
+	work     gateWork
 
 	transport atomic.Pointer[http.Transport]
 	idle      atomic.Int64 // idle time of the transport
@@ -124,6 +125,7 @@
 		b.mu.Unlock()
 		return place, notRun{reason: d.Reason, wait: d.Wait}
 	case gate.Run:
+		b.work.started++
 		b.mu.Unlock()
 		return place, nil
 	}
@@ -141,6 +143,8 @@
 		return place, notRun{reason: gate.TooLate}
 	}
 	b.mu.Lock()
+	b.work.started++
+	b.work.waited += n.now().Sub(place.began)
 	place.began, place.instance = n.now(), b.lifetime.Instance
 	b.mu.Unlock()
 	return place, nil
@@ -159,6 +163,10 @@
 func (b *backend) release(p admission, a attempt, held time.Duration, isWhole bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if held > 0 {
+		b.work.ended++
+		b.work.held += held
+	}
 	b.apply(b.gate.Finish(b.node.now(), p.number, a.route, held, isWhole))
 }
 
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -29,9 +29,11 @@
 
 // tickState belongs to the rounds.
 type tickState struct {
-	mu     sync.Mutex
-	last   time.Time
-	load   float64
+	mu   sync.Mutex
+	last time.Time
+	load float64
+	// late is the longest delay of a round since the last line about the plan; a node that lacks processor time is late.
+	late   time.Duration
 	number uint64
 }
 
@@ -65,6 +67,7 @@
 	}
 	n.round.last = wall
 	n.round.number++
+	n.round.late = max(n.round.late, elapsed-tickInterval)
 	now := n.now()
 	entry, load := n.backend.entry(now)
 	n.round.load += (1 - math.Exp(-elapsed.Seconds()/loadTime.Seconds())) * (load - n.round.load)
@@ -87,9 +90,11 @@
 	n.ratioMu.Lock()
 	retriesLeft := n.ratio.Left(now, entry.Service)
 	n.ratioMu.Unlock()
-	n.metrics.gauge(entry, n.round.load, instances, retriesLeft)
+	view := viewOf(instances)
+	n.metrics.gauge(entry, n.round.load, view, retriesLeft)
 	if n.round.number%planLines == 0 {
-		n.logPlan()
+		n.logPlan(view, n.round.late)
+		n.round.late = 0
 	}
 }
 
--- a/mesh/log.go
+++ b/mesh/log.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/sapphiretack/sapphiretack/fleet"
 	"github.com/sapphiretack/sapphiretack/placement"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/routing"
@@ -70,20 +71,61 @@
 	}
 }
 
-// logPlan writes what admission and placement are based on.
-func (n *Node) logPlan() {
+// logPlan writes what admission and placement are based on, and what the own gate did since the last line.
+func (n *Node) logPlan(view fleetView, late time.Duration) {
 	n.planMu.Lock()
-	fractions, loads, uses := zerolog.Dict(), zerolog.Dict(), zerolog.Dict()
+	fractions, loads, uses, instances, slots := zerolog.Dict(), zerolog.Dict(), zerolog.Dict(), zerolog.Dict(), zerolog.Dict()
 	n.planner.Describe(func(route routing.RouteID, fraction float64) {
 		fractions.Float64(strconv.FormatUint(uint64(route), 16), round(fraction))
-	}, func(service request.ServiceID, zone request.ZoneID, load, use float64) {
-		loads.Float64(string(service)+"/"+string(zone), round(load))
-		uses.Float64(string(service)+"/"+string(zone), round(use))
+	}, func(z placement.ZoneState) {
+		name := string(z.Service) + "/" + string(z.Zone)
+		loads.Float64(name, round(z.Load))
+		uses.Float64(name, round(z.Use))
+		instances.Int(name, z.Instances)
+		slots.Float64(name, round(z.Slots))
 	})
 	n.planMu.Unlock()
 	n.log.Info().Str("event", "plan").Dict("fractions", fractions).Dict("loads", loads).Dict("uses", uses).
+		Dict("instances", instances).Dict("slots", slots).
+		Int("known", view.known).Int("fresh", view.fresh).Dur("oldest", view.oldest).Dur("late", late).
+		Dict("gate", n.backend.describe(n.now())).
 		Int64("config_version", int64(n.configuration.Version())).Msg("state of admission and placement")
 }
 
+// fleetView is how much of the fleet a node knows.
+type fleetView struct {
+	known, fresh int
+	// oldest is the age of the oldest entry that decisions use.
+	oldest time.Duration
+}
+
+func viewOf(instances []fleet.Instance) fleetView {
+	v := fleetView{known: len(instances)}
+	for _, i := range instances {
+		if i.IsFresh {
+			v.fresh++
+			v.oldest = max(v.oldest, i.Age)
+		}
+	}
+	return v
+}
+
+// gateWork sums up what a gate did since it was last described.
+type gateWork struct {
+	started, ended int
+	waited, held   time.Duration
+}
+
+// describe returns the state of the gate and its work since the last call.
+func (b *backend) describe(now request.Instant) *zerolog.Event {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := b.work
+	b.work = gateWork{}
+	return zerolog.Dict().Int("limit", b.gate.Limit(now)).Int("running", b.gate.Running()).Int("queued", b.gate.Queued()).
+		Int("started", w.started).Int("ended", w.ended).
+		Dur("wait", w.waited/time.Duration(max(1, w.started))).Dur("held", w.held/time.Duration(max(1, w.ended)))
+}
+
 // round shortens a number for a log line.
 func round(v float64) float64 { return math.Round(1000*v) / 1000 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -3,15 +3,19 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 
 	"github.com/sapphiretack/sapphiretack/mesh"
 	"github.com/sapphiretack/sapphiretack/routing"
@@ -358,7 +362,54 @@
 	w := newWorld(t, ledger(1, birds()))
 	a := w.start("registry", "a", 0)
 	w.settle("/birds/1")
-	for _, name := range []string{"store.configuration.ok", "store.register.ok", "store.costs.ok", "oldest_entry_ms", "retries_left", "nodes_fresh"} {
+	for _, name := range []string{"store.configuration.ok", "store.register.ok", "store.costs.ok", "oldest_entry_ms", "retries_left", "nodes_known", "nodes_fresh"} {
 		w.eventually(name, func() bool { return strings.Contains(w.metrics(a), name) })
 	}
 }
+
+// lineWriter collects the lines of a log by their event.
+type lineWriter struct {
+	mu    sync.Mutex
+	event string
+	lines [][]byte
+}
+
+// Write implements io.Writer; zerolog writes one line a call.
+func (l *lineWriter) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if bytes.Contains(line, []byte(`"event":"`+l.event+`"`)) {
+		l.lines = append(l.lines, bytes.Clone(line))
+	}
+	return len(line), nil
+}
+
+// TestPlanLine guards against plan lines from which an overloaded gate, a node without processor time and a node that knows
+// little of the fleet look alike.
+func TestPlanLine(t *testing.T) {
+	w := newWorld(t, ledger(1, birds()))
+	lines := &lineWriter{event: "plan"}
+	w.log = zerolog.New(lines)
+	a := w.start("registry", "a", time.Millisecond)
+	w.settle("/birds/1")
+	w.eventually("a plan line tells of an attempt", func() bool {
+		w.get(a, "/birds/1", "id")
+		lines.mu.Lock()
+		defer lines.mu.Unlock()
+		return slices.ContainsFunc(lines.lines, func(line []byte) bool {
+			var l struct {
+				Known, Fresh int
+				Oldest, Late *float64
+				Instances    map[string]int
+				Slots        map[string]float64
+				Gate         struct {
+					Limit, Started, Ended int
+					Wait, Held            float64
+				}
+			}
+			w.c.Assert(json.Unmarshal(line, &l), qt.IsNil)
+			return l.Known == 1 && l.Fresh == 1 && l.Oldest != nil && l.Late != nil && l.Instances["registry/a"] == 1 &&
+				l.Slots["registry/a"] > 0 && l.Gate.Limit > 0 && l.Gate.Started > 0 && l.Gate.Ended > 0 && l.Gate.Held > 0
+		})
+	})
+}
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strconv"
-	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
@@ -21,7 +20,7 @@
 	gossipSent                            gometrics.Counter
 	queueTime                             gometrics.Timer
 	running, limit, load, version, health gometrics.Gauge
-	fresh, oldest, allowance              gometrics.Gauge
+	known, fresh, oldest, allowance       gometrics.Gauge
 }
 
 func newMetrics() *metrics {
@@ -34,7 +33,7 @@
 		retriesDenied: counter("retries_denied"), gossipErrors: counter("gossip_errors"), gossipSent: counter("gossip_sent_bytes"),
 		queueTime: gometrics.GetOrRegisterTimer("gate_queue_time", r),
 		running:   gauge("gate_active"), limit: gauge("gate_limit"), load: gauge("gate_load_thousandths"),
-		version: gauge("config_version"), health: gauge("backend_health"), fresh: gauge("nodes_fresh"),
+		version: gauge("config_version"), health: gauge("backend_health"), known: gauge("nodes_known"), fresh: gauge("nodes_fresh"),
 		oldest: gauge("oldest_entry_ms"), allowance: gauge("retries_left"),
 	}
 }
@@ -63,23 +62,16 @@
 }
 
 // gauge records the state of a round; retriesLeft is the allowance of the own service.
-func (m *metrics) gauge(e fleet.Entry, load float64, instances []fleet.Instance, retriesLeft uint32) {
-	fresh := 0
-	oldest := time.Duration(0)
-	for _, i := range instances {
-		if i.IsFresh {
-			fresh++
-			oldest = max(oldest, i.Age)
-		}
-	}
-	m.oldest.Update(oldest.Milliseconds())
+func (m *metrics) gauge(e fleet.Entry, load float64, view fleetView, retriesLeft uint32) {
+	m.oldest.Update(view.oldest.Milliseconds())
 	m.allowance.Update(int64(retriesLeft))
 	m.limit.Update(int64(e.Limit))
 	m.running.Update(int64(load * float64(e.Limit)))
 	m.load.Update(int64(1000 * load))
 	m.version.Update(int64(e.Configuration))
 	m.health.Update(int64(e.Health))
-	m.fresh.Update(int64(fresh))
+	m.fresh.Update(int64(view.fresh))
+	m.known.Update(int64(view.known))
 }
 
 // countedDirectory counts the calls to the store by result.
--- a/mesh/world_test.go
+++ b/mesh/world_test.go
@@ -122,6 +122,7 @@
 	directory *directory
 	ports     map[string]uint16
 	network   byte
+	log       zerolog.Logger
 	machines  []*machine
 	group     errgroup.Group
 }
@@ -139,7 +140,7 @@
 
 // newBenchWorld returns a world that does not run beside others.
 func newBenchWorld(t testing.TB, c *routing.Configuration) *world {
-	w := &world{c: qt.New(t), directory: newDirectory(), ports: map[string]uint16{}, network: byte(worlds.Add(1))}
+	w := &world{c: qt.New(t), directory: newDirectory(), ports: map[string]uint16{}, network: byte(worlds.Add(1)), log: zerolog.Nop()}
 	w.directory.set(c)
 	for i, name := range []string{"outbound", "inbound", "gossip", "ready", "control", "application", "metrics"} {
 		w.ports[name] = basePort + uint16(i)
@@ -175,7 +176,7 @@
 			Outbound: at("outbound"), Inbound: at("inbound"), Gossip: at("gossip"), Readiness: at("ready"), Control: at("control"), Metrics: at("metrics"),
 			DrainTime: 400 * time.Millisecond, StopTime: time.Second, RetryWindow: 10 * time.Second, RetrySlack: 100,
 		},
-		Dialect: platform.Headers{}, Directory: w.directory, Log: zerolog.Nop(),
+		Dialect: platform.Headers{}, Directory: w.directory, Log: w.log,
 		Control: platform.ControlHandler, Ready: platform.ReadyHandler,
 	})
 	w.group.Go(func() error { defer close(m.done); return m.node.Run(ctx) })
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -200,8 +200,8 @@
 	c.Check(w.zones(a, lookup)["c"], qt.Equals, 0)
 	c.Check(w.zones(slow, lookup)["c"] < trials/5, qt.IsTrue, qt.Commentf("%v", w.zones(slow, lookup)))
 	c.Check(w.zones(a, entry)["c"] > trials/5, qt.IsTrue, qt.Commentf("%v", w.zones(a, entry)))
-	a.Describe(func(routing.RouteID, float64) {}, func(s request.ServiceID, z request.ZoneID, _, use float64) {
-		c.Check(use < 1, qt.IsTrue, qt.Commentf("%s in %s is planned to %.2f", s, z, use))
+	a.Describe(func(routing.RouteID, float64) {}, func(z placement.ZoneState) {
+		c.Check(z.Use < 1, qt.IsTrue, qt.Commentf("%s in %s is planned to %.2f", z.Service, z.Zone, z.Use))
 	})
 }
 
@@ -421,9 +421,9 @@
 	for _, z := range []request.ZoneID{"a", "b", "c"} {
 		w.rate(z, lookup, 40) // 53 of the 68 slots of racedesk that are left
 	}
-	w.planner("a").Describe(func(routing.RouteID, float64) {}, func(s request.ServiceID, z request.ZoneID, _, use float64) {
-		if s == "racedesk" && z != "b" {
-			c.Check(use <= 1, qt.IsTrue, qt.Commentf("%s in %s is planned to %.2f", s, z, use))
+	w.planner("a").Describe(func(routing.RouteID, float64) {}, func(z placement.ZoneState) {
+		if z.Service == "racedesk" && z.Zone != "b" {
+			c.Check(z.Use <= 1, qt.IsTrue, qt.Commentf("%s in %s is planned to %.2f", z.Service, z.Zone, z.Use))
 		}
 	})
 }
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -141,9 +141,21 @@
 	p.plan(capacity, routes, rates)
 }
 
-// Describe passes the state of the decisions on: the share of each route that is admitted below 1, and the loads by service
+// ZoneState is what the decisions know of the instances of a service in one zone.
+type ZoneState struct {
+	Service request.ServiceID
+	Zone    request.ZoneID
+	// Instances is the number of instances that are used.
+	Instances int
+	// Slots is the sum of their limits, corrected for their speed.
+	Slots float64
+	// Load is their mean reported load, and Use the planned demand as a share of Slots.
+	Load, Use float64
+}
+
+// Describe passes the state of the decisions on: the share of each route that is admitted below 1, and the state by service
 // and zone.
-func (p *Planner) Describe(fraction func(routing.RouteID, float64), load func(s request.ServiceID, z request.ZoneID, load, use float64)) {
+func (p *Planner) Describe(fraction func(routing.RouteID, float64), state func(ZoneState)) {
 	for _, r := range slices.Sorted(maps.Keys(p.shares)) {
 		if f := p.shares[r].Fraction; f < 1 {
 			fraction(r, f)
@@ -151,7 +163,8 @@
 	}
 	for _, s := range slices.Sorted(maps.Keys(p.zones)) {
 		for _, z := range sortedZones(p.zones[s]) {
-			load(s, z, p.zones[s][z].load, p.zones[s][z].use())
+			l := p.zones[s][z]
+			state(ZoneState{Service: s, Zone: z, Instances: len(l.usable), Slots: l.capacity, Load: l.load, Use: l.use()})
 		}
 	}
 }
