mesh: end attempts whose response has no end

Callers saw 504 at the end of their time, or nothing more, when a backend server sent bytes without an end: in place of a response, in its header, or as the body of a refusal.

Cause: the transports took the default bound of net/http for a header, 10 MB for each attempt, which at 104 attempts of one gate exceeds the 184 MB of a node; and the body of a refusal was drained without a bound in time. Headers are bounded by 32 KB now, and a refusal's body by 100 ms. A request that may be repeated goes to another instance.

TestBytesWithoutEnd failed for a header, for bytes that are no response and for a refusal before the change (504, 504 and 503 after 5 s in place of 200), and passes after it. A signed body without an end was right before: it is passed on until the time is over and then reset.

--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -186,8 +186,10 @@
 	return broken{err: Error.New("the gate answered %d %q", response.StatusCode, result)}
 }
 
-// drainBody reads the short body of a refusal, so that its connection can be used again.
+// drainBody reads the short body of a refusal, so that its connection can be used again; one that does not end is closed.
 func drainBody(r *http.Response) {
+	late := time.AfterFunc(drainTime, func() { _ = r.Body.Close() })
+	defer late.Stop()
 	_, _ = io.CopyN(io.Discard, r.Body, smallBody)
 	_ = r.Body.Close()
 }
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -70,10 +70,11 @@
 		return
 	}
 	old := b.transport.Swap(&http.Transport{
-		DialContext:         (&net.Dialer{Timeout: backendDial, KeepAliveConfig: keepAlive}).DialContext,
-		MaxIdleConnsPerHost: 1 << 12, // the gate bounds the connections in use
-		IdleConnTimeout:     d,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: backendDial, KeepAliveConfig: keepAlive}).DialContext,
+		MaxIdleConnsPerHost:    1 << 12, // the gate bounds the connections in use
+		IdleConnTimeout:        d,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxResponseHead,
 	})
 	if old != nil {
 		old.CloseIdleConnections()
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -413,3 +413,31 @@
 		})
 	})
 }
+
+// TestBytesWithoutEnd guards against a backend server whose bytes never end: they must neither hold a request until its time is
+// over nor look like a whole answer.
+func TestBytesWithoutEnd(t *testing.T) {
+	for _, fault := range []standin.ApplicationFault{
+		standin.ApplicationEndlessHead, standin.ApplicationEndlessBytes, standin.ApplicationEndlessRefusal,
+	} {
+		t.Run(string(fault), func(t *testing.T) {
+			w := newWorld(t, ledger(1, birds()))
+			a, b := w.start("registry", "a", 0), w.start("registry", "b", 0)
+			w.settle("/birds/1")
+			a.application.SetFault(fault)
+			r := w.get(a, "/birds/1", "id")
+			w.c.Check(r.status, qt.Equals, http.StatusOK, qt.Commentf("%v", r.body))
+			w.c.Check(r.body, qt.Equals, standin.ApplicationBody(b.instance, "id"))
+			w.eventually("the connection is closed", func() bool { return a.application.Cancelled() > 0 })
+		})
+	}
+	t.Run(string(standin.ApplicationEndlessBody), func(t *testing.T) {
+		w := newWorld(t, ledger(1, birds()))
+		a := w.start("registry", "a", 0)
+		w.settle("/birds/1")
+		a.application.SetFault(standin.ApplicationEndlessBody)
+		r := w.send(a, http.MethodGet, "ledger.example", "/birds/1", "id", 500*time.Millisecond, nil)
+		w.c.Check(r.err, qt.IsNotNil, qt.Commentf("the answer looks whole: %d %q", r.status, r.body))
+		w.eventually("the connection is closed", func() bool { return a.application.Cancelled() > 0 })
+	})
+}
--- a/standin/application.go
+++ b/standin/application.go
@@ -27,8 +27,16 @@
 	ApplicationResets   ApplicationFault = "resets"    // runs the request and resets the connection
 	ApplicationUnframed ApplicationFault = "unframed"  // answers without a length and ends the connection
 	ApplicationMisplace ApplicationFault = "misplaced" // answers that another lifetime was expected
+	// The next ones send bytes and leave the response without an end until the caller closes.
+	ApplicationEndlessHead    ApplicationFault = "endless head"    // a header of EndlessBytes
+	ApplicationEndlessBytes   ApplicationFault = "endless bytes"   // EndlessBytes that are no response
+	ApplicationEndlessBody    ApplicationFault = "endless body"    // a signed response with a body in chunks
+	ApplicationEndlessRefusal ApplicationFault = "endless refusal" // a refusal with a body in chunks
 )
 
+// EndlessBytes is what an endless head has sent when it goes silent.
+const EndlessBytes = 1 << 20
+
 // ApplicationSettings describe an application server on the users' platform.
 type ApplicationSettings struct {
 	Instance string
@@ -203,7 +211,8 @@
 		status = http.StatusInternalServerError
 	case ApplicationForeign:
 		h.Set("X-Request-Id", "another")
-	case ApplicationCuts, ApplicationRepeats, ApplicationResets, ApplicationUnframed:
+	case ApplicationCuts, ApplicationRepeats, ApplicationResets, ApplicationUnframed,
+		ApplicationEndlessHead, ApplicationEndlessBytes, ApplicationEndlessBody, ApplicationEndlessRefusal:
 		a.spoil(w, fault, id, body)
 		return
 	}
@@ -232,6 +241,26 @@
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
+	case ApplicationEndlessHead:
+		_, _ = buffer.WriteString(head + "X-Padding: " + strings.Repeat("0", EndlessBytes))
+	case ApplicationEndlessBytes:
+		_, _ = buffer.WriteString(strings.Repeat("0", EndlessBytes))
+	case ApplicationEndlessBody:
+		_, _ = buffer.WriteString(head + "Transfer-Encoding: chunked\r\n\r\n1\r\n0\r\n")
+	case ApplicationEndlessRefusal:
+		_, _ = buffer.WriteString("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Request-Id: " + id +
+			"\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n0\r\n")
 	}
 	_ = buffer.Flush()
+	if strings.HasPrefix(string(fault), "endless") {
+		a.awaitClose(conn)
+	}
+}
+
+// awaitClose waits until the caller closes the connection and counts that as cancelled.
+func (a *Application) awaitClose(conn net.Conn) {
+	_, _ = io.Copy(io.Discard, conn)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cancelled++
 }
