node: bound the headers of backend servers

The same fault as in mesh: a caller of the product's own interface saw 504 at the end of its time when a backend server sent a header without an end, and each attempt could keep 10 MB. The bound is request.MaxResponseHeader now, for health checks too.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -74,7 +74,7 @@
 		MaxIdleConnsPerHost:    1 << 12, // the gate bounds the connections in use
 		IdleConnTimeout:        d,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHead,
+		MaxResponseHeaderBytes: request.MaxResponseHeader,
 	})
 	if old != nil {
 		old.CloseIdleConnections()
--- a/mesh/transport.go
+++ b/mesh/transport.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/sapphiretack/sapphiretack/request"
 )
 
 const (
@@ -19,10 +21,6 @@
 	silenceTimeout = 2 * time.Second
 	// peerConnections bounds the idle connections to one other node.
 	peerConnections = 128
-	// maxResponseHead bounds the header of a response, of which a backend server in trouble may send one without end. net/http
-	// allows 10 MB, and the attempts of one gate together would exceed the memory of a node. It is as much as a body that is
-	// kept in memory.
-	maxResponseHead = smallBody
 	// drainTime bounds the wait for the body of a refusal, which is sent with its header.
 	drainTime = 100 * time.Millisecond
 	// smallBody is the size up to which a response is read whole before it is passed on, so that a truncated one can be
@@ -59,7 +57,7 @@
 		MaxIdleConnsPerHost:    peerConnections,
 		IdleConnTimeout:        idleTimeout / 2,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxResponseHead,
+		MaxResponseHeaderBytes: request.MaxResponseHeader,
 	}
 }
 
--- a/node/backend.go
+++ b/node/backend.go
@@ -33,10 +33,11 @@
 
 func newBackend(u *url.URL, connections int) *backend {
 	transport := &http.Transport{
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     backendIdleTimeout,
-		DisableCompression:  true,
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        backendIdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: request.MaxResponseHeader,
 	}
 	return &backend{url: u, client: &http.Client{
 		Transport:     transport,
--- a/node/backend_server_test.go
+++ b/node/backend_server_test.go
@@ -66,6 +66,14 @@
 		fmt.Fprint(w, "begin")
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
+	case "endless":
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Padding: "+strings.Repeat("0", 1<<20))
+		_, _ = io.Copy(io.Discard, conn) // until the caller closes
+		_ = conn.Close()
 	case "fail":
 		http.Error(w, "no such bird", http.StatusInternalServerError)
 	case "hold":
--- a/node/health.go
+++ b/node/health.go
@@ -36,7 +36,7 @@
 func newBackendHealth(n *Node) *backendHealth {
 	return &backendHealth{
 		node:    n,
-		client:  &http.Client{Timeout: healthTimeout},
+		client:  &http.Client{Timeout: healthTimeout, Transport: &http.Transport{MaxResponseHeaderBytes: request.MaxResponseHeader}},
 		url:     n.backendURL.JoinPath(n.settings.Backend.HealthPath).String(),
 		current: n.incarnation,
 	}
--- a/request/wait.go
+++ b/request/wait.go
@@ -19,6 +19,10 @@
 	}
 }
 
+// MaxResponseHeader bounds the bytes of a response header. A backend server in trouble may send one without an end, and net/http
+// allows 10 MB for each request in flight.
+const MaxResponseHeader = 32 << 10
+
 // IsUnsent reports whether an error of a transport proves that nothing was sent: the connection was never made.
 func IsUnsent(err error) bool {
 	var op *net.OpError
