gate: let a backend server that answers nothing look slow

Sources turned away from it only because its load grew. The usual time is now at least the mean age of the attempts that run, which is below the mean in ordinary operation.

TestSilentServerLooksSlow fails without the change: 50 ms in place of 800 ms.

--- a/experiment/graph.go
+++ b/experiment/graph.go
@@ -221,6 +221,25 @@
 	Share       float64
 }
 
+// Slowdown makes some backend servers of a service take a multiple of their time.
+type Slowdown struct {
+	From, Until time.Duration
+	Service     int
+	// Every is the distance between two instances that are slow.
+	Every  int
+	Factor float64
+}
+
+// Silence makes some backend servers of a service answer nothing, while their connections stay open.
+type Silence struct {
+	From, Until time.Duration
+	Service     int
+	// Every is the distance between two instances that are silent.
+	Every int
+}
+
+func (Slowdown) change() {}
+func (Silence) change()  {}
 func (Surge) change()    {}
 func (Loss) change()     {}
 func (Shedding) change() {}
@@ -245,6 +264,8 @@
 		Surge{From: 2 * time.Second, Until: 10 * time.Second, Zone: "palermo", Factor: 2.5},
 	}},
 	{Name: "lost-instance", Length: 12 * time.Second, Changes: []Change{Loss{From: 3 * time.Second, Until: 9 * time.Second, Service: deepest, Zone: 1}}},
+	{Name: "slow-instances", Length: 12 * time.Second, Changes: []Change{Slowdown{From: 3 * time.Second, Until: 9 * time.Second, Service: deepest, Every: 3, Factor: 5}}},
+	{Name: "silent-instances", Length: 12 * time.Second, Changes: []Change{Silence{From: 3 * time.Second, Until: 9 * time.Second, Service: deepest, Every: 3}}},
 	{Name: "shedding", Length: 12 * time.Second, Changes: []Change{Shedding{From: 3 * time.Second, Until: 9 * time.Second, Service: deepest, Share: 0.55}}},
 }
 
--- a/experiment/tree.go
+++ b/experiment/tree.go
@@ -92,6 +92,7 @@
 	treeNode
 	service request.ServiceID
 	index   int // of the service
+	number  int // among the instances of the service
 	zone    int
 	factor  float64
 	address netip.Addr
@@ -137,7 +138,7 @@
 	for index, service := range g.Services {
 		for i, zone := range service.zones(len(g.Zones)) {
 			in := &treeInstance{
-				service: service.Name, index: index, zone: zone, factor: workFactors[i%len(workFactors)],
+				service: service.Name, index: index, number: i, zone: zone, factor: workFactors[i%len(workFactors)],
 				address: netip.AddrFrom4([4]byte{10, byte(index), byte(i >> 8), byte(i)}), gate: gatepkg.New(gatepkg.DefaultSettings(), service.Slots),
 				waiting: map[gatepkg.Number]*treeAttempt{},
 			}
@@ -182,6 +183,26 @@
 	return 0
 }
 
+// slowness returns the multiple of its usual time that an instance takes now.
+func (s *treeSimulation) slowness(in *treeInstance) float64 {
+	for _, c := range s.pattern.Changes {
+		if c, ok := c.(Slowdown); ok && c.Service == in.index && in.number%c.Every == 0 && s.isNow(c.From, c.Until) {
+			return c.Factor
+		}
+	}
+	return 1
+}
+
+// isSilent reports whether an instance answers nothing now.
+func (s *treeSimulation) isSilent(in *treeInstance) bool {
+	for _, c := range s.pattern.Changes {
+		if c, ok := c.(Silence); ok && c.Service == in.index && in.number%c.Every == 0 && s.isNow(c.From, c.Until) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *treeSimulation) isNow(from, until time.Duration) bool {
 	return s.clock.now >= request.Instant(from) && s.clock.now < request.Instant(until)
 }
@@ -332,13 +353,20 @@
 		s.end(a, false, false)
 		return
 	}
+	if s.isSilent(in) {
+		s.clock.after(a.deadline.Sub(s.clock.now), func() {
+			s.finish(a, false)
+			s.end(a, false, false)
+		})
+		return
+	}
 	for _, c := range a.route.Calls {
 		for range c.Times {
 			a.calls = append(a.calls, s.routes[c.Route])
 		}
 	}
 	r := a.route
-	work := time.Duration(float64(r.Work) * in.factor * (1 - r.Spread + r.Spread*s.random.ExpFloat64()))
+	work := time.Duration(float64(r.Work) * in.factor * s.slowness(in) * (1 - r.Spread + r.Spread*s.random.ExpFloat64()))
 	s.clock.after(work/2, func() { s.call(a, work/2) })
 }
 
@@ -419,7 +447,7 @@
 	s.apply(in, in.gate.Tick(now))
 	limit := in.gate.Limit(now)
 	in.load += treeLoadShare * (float64(in.gate.Running()+in.gate.Queued())/float64(limit) - in.load)
-	route, usual := in.gate.Usual()
+	route, usual := in.gate.Usual(now)
 	e := fleet.Entry{
 		Service: in.service, Instance: request.InstanceID(in.address.String()), Incarnation: 1,
 		Health: fleet.Serving, Limit: uint16(limit), Load: uint16(min(1000*in.load, 60000)), UsualRoute: route, UsualTime: usual, Rates: in.roll(),
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -109,7 +109,7 @@
 type Gate struct {
 	settings  Settings
 	slots     int
-	running   map[Number]struct{}
+	running   map[Number]running
 	queue     []Attempt // most important first
 	times     map[routing.RouteID]*mean
 	held      mean // time that any attempt holds a slot
@@ -119,6 +119,12 @@
 	reason    Reason
 }
 
+// running is an attempt that holds a slot.
+type running struct {
+	route routing.RouteID
+	since request.Instant
+}
+
 // mean is an exponentially weighted mean of durations.
 type mean struct {
 	value time.Duration
@@ -139,7 +145,7 @@
 
 // New returns an open gate in front of a backend server with the given number of slots.
 func New(s Settings, slots int) *Gate {
-	return &Gate{settings: s, slots: max(1, slots), running: map[Number]struct{}{}, times: map[routing.RouteID]*mean{}}
+	return &Gate{settings: s, slots: max(1, slots), running: map[Number]running{}, times: map[routing.RouteID]*mean{}}
 }
 
 // SetSlots changes the number of slots that the backend server declares.
@@ -182,8 +188,9 @@
 // Queued returns the number of attempts that wait.
 func (g *Gate) Queued() int { return len(g.queue) }
 
-// Usual returns the route of which most attempts completed, and the mean time for which one of them holds a slot.
-func (g *Gate) Usual() (routing.RouteID, time.Duration) {
+// Usual returns the route of which most attempts completed, and the mean time for which one of them holds a slot. Where none
+// completes any more, it is the mean age of those that run.
+func (g *Gate) Usual(now request.Instant) (routing.RouteID, time.Duration) {
 	var usual routing.RouteID
 	most := &mean{}
 	for r, m := range g.times {
@@ -191,7 +198,20 @@
 			usual, most = r, m
 		}
 	}
-	return usual, most.value
+	return usual, max(most.value, g.meanAge(now, usual))
+}
+
+// meanAge returns how long the running attempts of a route have run. In ordinary operation it is below the mean time, since it
+// is half of that where all attempts take the same time.
+func (g *Gate) meanAge(now request.Instant, route routing.RouteID) time.Duration {
+	var sum, count time.Duration
+	for _, r := range g.running {
+		if r.route == route {
+			sum += now.Sub(r.since)
+			count++
+		}
+	}
+	return sum / max(1, count)
 }
 
 // Arrive decides on a new attempt; displaced entries of the queue are returned as actions.
@@ -203,7 +223,7 @@
 		return Decision{Reason: TooLate}, nil
 	}
 	if len(g.running) < g.Limit(now) && len(g.queue) == 0 {
-		g.running[a.Number] = struct{}{}
+		g.running[a.Number] = running{a.Route, now}
 		return Decision{Kind: Run}, nil
 	}
 	at, _ := slices.BinarySearchFunc(g.queue, a, func(e, a Attempt) int {
@@ -285,7 +305,7 @@
 	for len(g.queue) > 0 && len(g.running) < g.Limit(now) {
 		e := g.queue[0]
 		g.queue = slices.Delete(g.queue, 0, 1)
-		g.running[e.Number] = struct{}{}
+		g.running[e.Number] = running{e.Route, now}
 		out = append(out, Start{e.Number})
 	}
 	return out
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -117,3 +117,24 @@
 	}
 	qt.Check(t, gate.ReasonOf("no such reason"), qt.Equals, gate.Unknown)
 }
+
+// TestSilentServerLooksSlow guards against a backend server that answers nothing any more and keeps the usual time of its last
+// answers, so that sources go on to give it the share of a fast one.
+func TestSilentServerLooksSlow(t *testing.T) {
+	c := qt.New(t)
+	g := gate.New(gate.DefaultSettings(), 10)
+	at := func(d time.Duration) request.Instant { return request.Instant(d) }
+	arrive := func(now time.Duration, n gate.Number, route routing.RouteID) {
+		d, _ := g.Arrive(at(now), gate.Attempt{Number: n, Route: route, Deadline: at(time.Minute)})
+		c.Assert(d.Kind, qt.Equals, gate.Run)
+	}
+	arrive(0, 1, 1)
+	g.Finish(at(50*time.Millisecond), 1, 1, 50*time.Millisecond, true)
+	arrive(100*time.Millisecond, 2, 1)
+	arrive(0, 3, 2) // of a route whose attempts take long
+	route, usual := g.Usual(at(125 * time.Millisecond))
+	c.Check(route, qt.Equals, routing.RouteID(1))
+	c.Check(usual, qt.Equals, 50*time.Millisecond)
+	_, usual = g.Usual(at(900 * time.Millisecond))
+	c.Check(usual, qt.Equals, 800*time.Millisecond)
+}
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -580,7 +580,7 @@
 	defer b.mu.Unlock()
 	b.apply(b.gate.Tick(now))
 	limit := b.gate.Limit(now)
-	route, usual := b.gate.Usual()
+	route, usual := b.gate.Usual(now)
 	return fleet.Entry{
 		Service: *b.node.origin.Load(), Instance: b.lifetime.Instance, Health: b.health, Limit: uint16(min(limit, 1<<16-1)),
 		UsualRoute: route, UsualTime: usual, Failing: b.failing.percent(now),
