placement: draw instances by capacity, and count loads by their age

Cause: every node sent a call to the least loaded of the two to four instances in its zone, by loads some hundred milliseconds old, while a call takes 40 to 90 ms. All nodes crowded at one instance and then at the next.

Now an instance is drawn by its limit and speed. A load takes off as much as the time for which attempts hold a slot is long against the delay; that keeps the loop of reports and choices below the gain at which it swings, and still turns from an instance that stays full. Calls that leave a full zone, and requests of a zone without the service, draw among the instances with room in place of one zone.

--- a/placement/doc.go
+++ b/placement/doc.go
@@ -14,4 +14,6 @@
 // availability zone unless the zone has no room for it, or the tree would be too slow there; it moves whole trees, and only the
 // share that does not fit. Routes with the least time to spare choose their zones first. Call keeps calls in the zone in which
 // they are made, unless the queue there is clearly longer than elsewhere.
+// Among the instances of a zone both draw at random, by capacity; a reported load counts as far as it is recent, compared with the
+// time for which attempts hold a slot.
 package placement
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -36,100 +36,112 @@
 
 // Call returns where a call of a running request goes: within the zone, unless it is much fuller there than elsewhere.
 func (p *Planner) Call(service request.ServiceID, excluded []netip.Addr) (Target, bool) {
-	zone := p.zone
-	if own := p.loadOf(service, zone); own > p.settings.CallLoad && !math.IsInf(own, 1) {
-		if other, best := p.leastLoaded(service); best < 1 && p.random.Float64() < (own-best)/own {
-			zone = other
+	if own := p.loadOf(service, p.zone); own > p.settings.CallLoad && !math.IsInf(own, 1) {
+		room, least := p.roomElsewhere(service)
+		if len(room) > 0 && p.random.Float64() < (own-least)/own {
+			if t, ok := p.draw(room, excluded); ok {
+				return t, true
+			}
 		}
 	}
-	return p.pick(service, zone, excluded)
+	return p.pick(service, p.zone, excluded)
 }
 
-// leastLoaded returns the zone whose instances of a service report the least load, and that load.
-func (p *Planner) leastLoaded(s request.ServiceID) (request.ZoneID, float64) {
-	best, load := p.zone, math.Inf(1)
-	for _, name := range p.zoneNames {
-		if l := p.loadOf(s, name); l < load {
-			best, load = name, l
+// roomElsewhere returns the instances of a service in the zones that have room, and the least load of these zones.
+func (p *Planner) roomElsewhere(s request.ServiceID) ([]int, float64) {
+	var out []int
+	least := math.Inf(1)
+	for _, zone := range p.zoneNames {
+		if load := p.loadOf(s, zone); load < 1 {
+			out = append(out, p.zones[s][zone].usable...)
+			least = min(least, load)
 		}
 	}
-	return best, load
+	return out, least
 }
 
-// pick chooses an instance in the zone, or in the least loaded other zone, or one that is avoided, in this order.
+// pick chooses an instance in the zone, or in another zone, or one that is avoided, in this order.
 func (p *Planner) pick(s request.ServiceID, zone request.ZoneID, excluded []netip.Addr) (Target, bool) {
-	if t, ok := p.choose(p.zones[s][zone], excluded, p.random.Float64() < p.settings.ProbeShare); ok {
-		return t, true
-	}
-	var best Target
-	found, load := false, math.Inf(1)
-	for _, name := range p.zoneNames {
-		z := p.zones[s][name]
-		if z == nil || name == zone || z.load >= load {
-			continue
+	if z := p.zones[s][zone]; z != nil {
+		list := z.usable
+		if len(z.avoid) > 0 && p.random.Float64() < p.settings.ProbeShare {
+			list = z.avoid
 		}
-		if t, ok := p.choose(z, excluded, false); ok {
-			best, found, load = t, true, z.load
+		if t, ok := p.draw(list, excluded); ok {
+			return t, true
 		}
 	}
-	if found {
-		return best, true
-	}
+	var usable, avoided []int
 	for _, name := range p.zoneNames {
-		if t, ok := p.choose(p.zones[s][name], excluded, true); ok {
-			return t, true
+		if z := p.zones[s][name]; z != nil {
+			avoided = append(avoided, z.avoid...)
+			if name != zone {
+				usable = append(usable, z.usable...)
+			}
 		}
 	}
+	if t, ok := p.draw(usable, excluded); ok {
+		return t, true
+	}
+	if t, ok := p.draw(avoided, excluded); ok {
+		return t, true
+	}
 	return p.stale(s, excluded)
 }
 
-// choose takes the less loaded of two random instances.
-func (p *Planner) choose(z *zoneLoad, excluded []netip.Addr, isProbe bool) (Target, bool) {
-	if z == nil {
-		return Target{}, false
-	}
-	list := z.usable
-	if isProbe && len(z.avoid) > 0 {
-		list = z.avoid
-	}
-	best, load := -1, math.Inf(1)
-	tries := 2
-	if len(list) <= 4 {
-		tries = len(list)
-	}
-	offset := 0
-	if len(list) > 0 {
-		offset = p.random.IntN(len(list))
+// draw chooses one of the instances at random, by their weights.
+func (p *Planner) draw(list []int, excluded []netip.Addr) (Target, bool) {
+	sum := 0.0
+	for _, i := range list {
+		if !slices.Contains(excluded, p.instances[i].Address) {
+			sum += p.weights[i]
+		}
 	}
-	for k := 0; k < len(list) && tries > 0; k++ {
-		i := list[(offset+k)%len(list)]
+	at := p.random.Float64() * sum
+	last := -1
+	for _, i := range list {
 		if slices.Contains(excluded, p.instances[i].Address) {
 			continue
 		}
-		tries--
-		if l := p.loadAt(i); l < load {
-			best, load = i, l
-		}
-		if len(list) > 4 {
-			offset = p.random.IntN(len(list))
+		last = i
+		if at < p.weights[i] {
+			break
 		}
+		at -= p.weights[i]
 	}
-	if best < 0 {
+	if last < 0 {
 		return Target{}, false
 	}
-	return p.target(best), true
+	return p.target(last), true
 }
 
-func (p *Planner) loadAt(i int) float64 {
-	in := &p.instances[i]
-	return float64(in.Load)/1000 + p.sent[i]/max(1, float64(in.Limit))
+const (
+	// reportDelay is how old a load is before its entry is sent: it is averaged over 200 ms and used for up to 100 ms.
+	reportDelay = 250 * time.Millisecond
+	// maxGain bounds the response to loads that are recent; the share of an instance changes by e for a load of 1/maxGain.
+	maxGain = 2
+	// stableGain keeps the response to old loads below the limit from which a delayed feedback swings, pi/2.
+	stableGain = 0.5
+)
+
+// gain returns how much the load of an instance counts. A load is worth as much as it is recent, compared with the time for which
+// attempts hold a slot: all nodes see the same load and respond to it, so if the queue has changed before they see that they
+// have, they all crowd at the instance that was idle.
+func gain(in fleet.Instance) float64 {
+	return min(maxGain, stableGain*in.UsualTime.Seconds()/(in.Age+reportDelay).Seconds())
 }
 
-// sentWeight is the share of an attempt that counts as load until the next update, since some of them end before it.
-const sentWeight = 0.5
+// weightsOf returns the share of attempts that each instance gets among those of its service: by its capacity, less what its
+// load takes off.
+func weightsOf(instances []fleet.Instance, speeds []float64) []float64 {
+	out := make([]float64, len(instances))
+	for i, in := range instances {
+		out[i] = max(1, float64(in.Limit)) * speeds[i] * math.Exp(-gain(in)*float64(in.Load)/1000)
+	}
+	return out
+}
 
 func (p *Planner) target(i int) Target {
-	p.sent[i] += sentWeight
 	in := &p.instances[i]
 	return Target{Address: in.Address, Instance: in.Instance, Zone: in.Zone, IsSelf: in.IsSelf}
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -70,8 +70,11 @@
 	}
 }
 
-func (w *world) planner(zone request.ZoneID) *placement.Planner {
-	p := placement.New(placement.DefaultSettings(), zone, rand.New(rand.NewPCG(1, 2)))
+func (w *world) planner(zone request.ZoneID) *placement.Planner { return w.plannerOf(zone, 1) }
+
+// plannerOf returns the planner of one of several nodes in a zone.
+func (w *world) plannerOf(zone request.ZoneID, node uint64) *placement.Planner {
+	p := placement.New(placement.DefaultSettings(), zone, rand.New(rand.NewPCG(node, 2)))
 	p.Update(0, w.instances, func(r routing.RouteID) (placement.Route, bool) {
 		route, ok := w.routes[r]
 		return route, ok
@@ -427,3 +430,59 @@
 		}
 	})
 }
+
+// TestOldLoadsDoNotCrowd replays racedesk on golub-ledger-grown: it has two instances in a zone, and thirty nodes that all sent their
+// calls to the one that was idle a moment ago left it with 388 waiting beside an idle one, in turns.
+func TestOldLoadsDoNotCrowd(t *testing.T) {
+	share := func(held, age time.Duration) float64 {
+		w := newWorld()
+		for i := range w.instances {
+			if in := &w.instances[i]; in.Service == "racedesk" {
+				in.Zone, in.UsualTime, in.Age = "a", held, age
+				in.Load = uint16(1500 * i / 2) // 0, 1.5 and 3 times the slots
+			}
+		}
+		idle := 0
+		const nodes, calls = 500, 4 // that a node makes between two rounds
+		for node := range nodes {
+			p := w.plannerOf("a", uint64(node))
+			for range calls {
+				if target, _ := p.Call("racedesk", nil); target.Instance == "racedesk-a" {
+					idle++
+				}
+			}
+		}
+		return float64(idle) / (nodes * calls)
+	}
+	c := qt.New(t)
+	// The queues have changed several times since they were reported.
+	old := share(56*time.Millisecond, 300*time.Millisecond)
+	c.Check(old > 0.3 && old < 0.45, qt.IsTrue, qt.Commentf("%.2f of the calls at the idle instance", old))
+	// Attempts that hold slots for a second are still there.
+	recent := share(time.Second, 0)
+	c.Check(recent > 0.9, qt.IsTrue, qt.Commentf("%.2f of the requests at the idle instance", recent))
+}
+
+// TestFasterInstanceGetsMore guards against a slow backend server that gets as many calls as a fast one beside it and so makes
+// trees with many calls late.
+func TestFasterInstanceGetsMore(t *testing.T) {
+	w := newWorld()
+	for i := range w.instances {
+		if in := &w.instances[i]; in.Service == "racedesk" {
+			in.UsualTime = 40 * time.Millisecond
+			if in.Zone == "c" {
+				in.UsualTime = 90 * time.Millisecond
+			}
+			in.Zone = "a"
+		}
+	}
+	p := w.planner("a")
+	slow := 0
+	for range trials {
+		if target, _ := p.Call("racedesk", nil); target.Instance == "racedesk-c" {
+			slow++
+		}
+	}
+	// Its share of the capacity is 4/22.
+	qt.Check(t, slow > trials/8 && slow < trials/4, qt.IsTrue, qt.Commentf("%d of %d at the slow instance", slow, trials))
+}
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -67,10 +67,9 @@
 	passing   map[request.ServiceID]float64 // share of attempts that the backend servers do not fail
 	usual     map[request.ServiceID]float64 // seconds for which a usual attempt holds a slot
 	places    map[routing.RouteID][]place
-	speed     float64 // of the own backend server
-	// sent counts attempts per instance since the last update, which the reported loads do not contain yet.
-	sent    []float64
-	updated request.Instant
+	speed     float64   // of the own backend server
+	weights   []float64 // by which an instance is chosen among those of its service
+	updated   request.Instant
 }
 
 // New returns a planner that knows no instance.
@@ -82,10 +81,10 @@
 func (p *Planner) Update(now request.Instant, instances []fleet.Instance, route func(routing.RouteID) (Route, bool)) {
 	p.updated = now
 	p.instances = instances
-	p.sent = make([]float64, len(instances))
 	p.zones = map[request.ServiceID]map[request.ZoneID]*zoneLoad{}
 	p.zoneNames = p.zoneNames[:0]
 	speeds := speedsOf(instances)
+	p.weights = weightsOf(instances, speeds)
 	p.speed = 1
 	p.usual = usualTimes(instances)
 	seen := map[request.ZoneID]bool{}
