--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -154,6 +154,12 @@
 	c.Check(messages <= 12*10*4, qt.IsTrue, qt.Commentf("%d messages", messages))
 }
 
+// TestSpreadAtGrownSize guards against the same on the users' grown deployments, which have 85 machines.
+func TestSpreadAtGrownSize(t *testing.T) {
+	needed, _ := spread(qt.New(t), 85, 10)
+	qt.Check(t, needed > 0 && needed <= 10, qt.IsTrue, qt.Commentf("85 nodes: %d rounds, 0 means never", needed))
+}
+
 // TestDecode guards against a message of a foreign sender that ends the process.
 func TestDecode(t *testing.T) {
 	for _, data := range []string{"", "x", "\x9f\xff\x00", "\x81\x81"} {
