fleet: summaries across zones, entries in turns, silence kept apart from loss

Cause: a message carried the 12 most recently renewed entries of the whole fleet, so with 85 and 195 nodes the same entries were left out for seconds, went stale, and took their capacity and rates out of the plans.

Change: - A node tells its own zone's entries in its zone only, in a random order, first those renewed since they were last told. All but one of the recipients of a tick are at doubling distances in the order of addresses. - Across zones it tells a summary for each service: nodes, slots, load, failures, speed by dominant route, rates, and up to three instances to send to. After a failed connection the old limit of 1 s applies.

--- a/experiment/tree.go
+++ b/experiment/tree.go
@@ -85,6 +85,7 @@
 type treeNode struct {
 	table   *fleet.Table
 	planner *placement.Planner
+	random  *rand.Rand
 	costs   *tree.Costs
 	counts  map[routing.RouteID]int
 	rates   map[routing.RouteID]float64
@@ -153,6 +154,7 @@
 			in.treeNode = treeNode{
 				table:   fleet.New(fleet.DefaultSettings(), self, random(1)),
 				planner: placement.New(policy.Settings, self.Zone, random(0)),
+				random:  random(2),
 				costs:   tree.NewCosts(), counts: map[routing.RouteID]int{}, rates: map[routing.RouteID]float64{},
 			}
 			addresses = append(addresses, self)
@@ -161,7 +163,7 @@
 		}
 	}
 	for _, in := range s.instances {
-		in.table.AddEndpoints(addresses)
+		in.table.AddEndpoints(0, addresses)
 	}
 	return s
 }
@@ -470,12 +472,17 @@
 		if to.zone != in.zone {
 			delay = s.graph.ZoneDelay
 		}
-		s.clock.after(delay, func() { to.table.Merge(s.clock.now, m.Entries) })
+		s.clock.after(delay, func() {
+			to.table.Merge(s.clock.now, m.Entries)
+			to.table.MergeSummaries(s.clock.now, m.Summaries)
+		})
 	}
-	in.planner.Update(now, in.table.Snapshot(now), func(id routing.RouteID) (placement.Route, bool) {
+	view := in.table.Snapshot(now)
+	in.planner.Update(now, view, func(id routing.RouteID) (placement.Route, bool) {
 		r, cost := s.byID[id], in.costs.Of(id)
 		return placement.Route{Rank: r.Rank, Service: r.Service, Cost: cost, LatencyBound: min(r.Target, r.Limit)}, cost != nil
 	})
+	in.table.SetSummaries(now, placement.Summarize(s.policy.Settings, s.graph.Zones[in.zone], view, in.random))
 	s.clock.after(treeTickInterval, func() { s.tick(in) })
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/sapphiretack/sapphiretack/fleet"
+	"github.com/sapphiretack/sapphiretack/placement"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/routing"
 )
@@ -27,7 +28,7 @@
 }
 
 func find(table *fleet.Table, now request.Instant, n int) (fleet.Instance, bool) {
-	for _, i := range table.Snapshot(now) {
+	for _, i := range table.Snapshot(now).Instances {
 		if i.Address == address(n) {
 			return i, true
 		}
@@ -103,8 +104,9 @@
 		addresses = append(addresses, fleet.Endpoint{Address: address(i), Zone: zoneOf(i)})
 	}
 	for _, table := range tables {
-		table.AddEndpoints(addresses)
+		table.AddEndpoints(0, addresses)
 	}
+	random := rand.New(rand.NewPCG(1, 1))
 	byAddress := map[netip.Addr]*fleet.Table{}
 	for i := range n {
 		byAddress[address(i)] = tables[i]
@@ -114,14 +116,16 @@
 		for _, table := range tables {
 			table.RenewSelf(now, fleet.Entry{Incarnation: 1, Health: fleet.Serving})
 		}
-		for _, table := range tables {
+		for i, table := range tables {
+			table.SetSummaries(now, placement.Summarize(placement.DefaultSettings(), zoneOf(i), table.Snapshot(now), random))
 			for _, m := range table.Messages(now) {
 				messages++
-				data, err := fleet.Encode(m.Entries)
+				data, err := fleet.Encode(m)
 				c.Assert(err, qt.IsNil)
-				entries, err := fleet.Decode(data)
+				received, err := fleet.Decode(data)
 				c.Assert(err, qt.IsNil)
-				byAddress[m.To].Merge(now, entries)
+				byAddress[m.To].Merge(now, received.Entries)
+				byAddress[m.To].MergeSummaries(now, received.Summaries)
 			}
 		}
 		if needed == 0 && knowsAll(tables, now) {
@@ -131,16 +135,10 @@
 	return needed, messages
 }
 
-// knowsAll reports whether every table has a fresh entry of every node.
+// knowsAll reports whether every table counts every node, by a fresh entry in its zone and by current summaries of other zones.
 func knowsAll(tables []*fleet.Table, now request.Instant) bool {
 	for _, table := range tables {
-		fresh := 0
-		for _, i := range table.Snapshot(now) {
-			if i.IsFresh {
-				fresh++
-			}
-		}
-		if fresh < len(tables) {
+		if table.Snapshot(now).LiveNodes() != len(tables) {
 			return false
 		}
 	}
@@ -173,43 +171,70 @@
 
 // FuzzDecode guards against a message that makes decoding or merging panic.
 func FuzzDecode(f *testing.F) {
-	data, err := fleet.Encode([]fleet.Entry{entry(1, 2, 3)})
-	qt.Assert(f, err, qt.IsNil)
-	f.Add(data)
+	for _, m := range []fleet.Message{{Entries: []fleet.Entry{entry(1, 2, 3)}}, {Summaries: []fleet.Summary{fullSummary("b", 1)}}} {
+		data, err := fleet.Encode(m)
+		qt.Assert(f, err, qt.IsNil)
+		f.Add(data)
+	}
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		entries, err := fleet.Decode(data)
+		m, err := fleet.Decode(data)
 		if err == nil {
-			newTable(0).Merge(0, entries)
+			table := newTable(0)
+			table.Merge(0, m.Entries)
+			table.MergeSummaries(0, m.Summaries)
+			_ = table.Snapshot(0)
 		}
 	})
 }
 
-// BenchmarkTick measures one gossip tick and snapshot for a fleet of the given number of nodes; docs/CAPACITY.md has the
-// results.
+// BenchmarkTick measures one gossip tick, snapshot and summary of the zone for a fleet of the given number of nodes in its zones,
+// with 74 services; docs/CAPACITY.md has the results.
 func BenchmarkTick(b *testing.B) {
-	for _, n := range []int{12, 85, 300, 2800} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			table := newTable(0)
-			var entries []fleet.Entry
-			for i := 1; i < n; i++ {
-				e := entry(i, 1, 1)
-				e.Service = request.ServiceID(fmt.Sprint("service", i%74))
-				e.Rates = []fleet.Rate{{Route: 1, PerSecond: 3}, {Route: 2, PerSecond: 1}, {Route: 3, PerSecond: 1}, {Route: 4, PerSecond: 1}}
-				entries = append(entries, e)
+	for _, size := range []struct{ nodes, zones int }{{12, 3}, {85, 3}, {195, 6}, {300, 6}, {2800, 16}} {
+		b.Run(fmt.Sprint(size.nodes), func(b *testing.B) {
+			view, settings := benchmarkView(size.nodes, size.zones), placement.DefaultSettings()
+			random := rand.New(rand.NewPCG(1, 1))
+			table := fleet.New(fleet.DefaultSettings(), fleet.Endpoint{Address: view[0].Address, Zone: "zone 0"}, random)
+			var own []fleet.Entry
+			for _, in := range view {
+				if in.Zone == "zone 0" {
+					own = append(own, in.Entry)
+				}
+			}
+			table.Merge(0, own)
+			for zone := 1; zone < size.zones; zone++ {
+				table.MergeSummaries(0, placement.Summarize(settings, request.ZoneID(fmt.Sprint("zone ", zone)), fleet.View{Instances: view}, random))
 			}
-			table.Merge(0, entries)
-			bytes, messages := 0, 0
+			bytes, messages, ticks := 0, 0, 0
 			for b.Loop() {
-				table.RenewSelf(0, fleet.Entry{Incarnation: 1, Health: fleet.Serving})
-				for _, m := range table.Messages(0) {
-					data, err := fleet.Encode(m.Entries)
+				ticks++
+				now := request.Instant(ticks) * request.Instant(time.Microsecond)
+				table.RenewSelf(now, own[0])
+				for _, m := range table.Messages(now) {
+					data, err := fleet.Encode(m)
 					qt.Assert(b, err, qt.IsNil)
 					bytes += len(data)
 					messages++
 				}
-				_ = table.Snapshot(0)
+				view := table.Snapshot(now)
+				table.SetSummaries(now, placement.Summarize(settings, "zone 0", view, random))
 			}
 			b.ReportMetric(float64(bytes)/float64(messages), "B/message")
 		})
 	}
 }
+
+// benchmarkView returns instances of up to 74 services, each of which receives requests of four routes.
+func benchmarkView(nodes, zones int) []fleet.Instance {
+	var out []fleet.Instance
+	for i := range nodes {
+		e := entry(i, 1<<40, 1)
+		e.Zone, e.Service, e.Instance = request.ZoneID(fmt.Sprint("zone ", i%zones)), request.ServiceID(fmt.Sprint("service ", i/zones%74)), request.InstanceID(fmt.Sprintf("i-%08x", i))
+		e.Limit, e.ServiceTime, e.DominantRoute = 100, 100*time.Millisecond, routing.RouteID(i/zones%74+1<<30)
+		for r := range 4 {
+			e.Rates = append(e.Rates, fleet.Rate{Route: routing.RouteID(i/zones%74*4 + r + 1<<30), PerSecond: 3})
+		}
+		out = append(out, fleet.Instance{Entry: e, IsFresh: true})
+	}
+	return out
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math/bits"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -12,27 +13,30 @@
 
 // Settings configure the gossip between nodes and the age at which entries become stale.
 type Settings struct {
-	// ZoneFanout and CrossZoneFanout are the numbers of nodes that a tick sends messages to, in the local zone and in all other
-	// zones together.
-	ZoneFanout, CrossZoneFanout int
+	// ZoneFanout is the number of nodes of the local zone that a tick sends a message to. One of them is sent summaries of other
+	// zones, if there are any, and the others entries.
+	ZoneFanout int
 	// CrossZoneInterval is the minimum time between messages to other zones, which limits the cost of traffic between zones.
 	CrossZoneInterval time.Duration
-	// MaxEntriesPerMessage is the maximum number of entries in a message, so that it fits into one datagram.
-	MaxEntriesPerMessage int
-	// ZoneMaxAge and CrossZoneMaxAge are the ages at which an entry becomes stale, for nodes in the zone and in other zones.
-	ZoneMaxAge, CrossZoneMaxAge time.Duration
+	// ZoneMaxAge and SummaryMaxAge are the ages from which entries of the local zone and summaries of other zones may count as
+	// stale; see ageMeter.
+	ZoneMaxAge, SummaryMaxAge time.Duration
+	// CrossZoneMaxAge is the age at which an entry of another zone becomes stale. Only nodes of earlier versions send these.
+	CrossZoneMaxAge time.Duration
 	// RetryInterval is the minimum time between messages to a node whose entry is stale or unknown.
 	RetryInterval time.Duration
+	// SettleTime is the time without news of further nodes of the zone after which a node that has started, or was paused for
+	// longer than PauseTime, summarizes its zone.
+	SettleTime, PauseTime time.Duration
 }
 
 // DefaultSettings returns the default settings.
 func DefaultSettings() Settings {
 	return Settings{
-		ZoneFanout: 3, CrossZoneFanout: 1,
-		CrossZoneInterval:    200 * time.Millisecond,
-		MaxEntriesPerMessage: 12,
-		ZoneMaxAge:           time.Second, CrossZoneMaxAge: 1500 * time.Millisecond,
-		RetryInterval: time.Second,
+		ZoneFanout:        3,
+		CrossZoneInterval: 200 * time.Millisecond,
+		ZoneMaxAge:        time.Second, SummaryMaxAge: 1500 * time.Millisecond, CrossZoneMaxAge: 1500 * time.Millisecond,
+		RetryInterval: time.Second, SettleTime: 200 * time.Millisecond, PauseTime: time.Second,
 	}
 }
 
@@ -42,61 +46,93 @@
 	Zone    request.ZoneID
 }
 
-// Message is a batch of entries to send to one node.
+// Message is a batch of entries or of summaries to send to one node.
 type Message struct {
-	To      netip.Addr
-	Entries []Entry
+	To        netip.Addr
+	Entries   []Entry
+	Summaries []Summary
+	// ConfigurationVersion is the version that the sender of summaries uses.
+	ConfigurationVersion routing.Version
 }
 
 type member struct {
 	entry    Entry
 	renewed  request.Instant // when the node renewed the entry
+	told     request.Instant // when the entry was last sent on
 	hasEntry bool            // whether an entry has been received
 	lastSent request.Instant // when the last message was sent
-	// avoidUntil is the time until which the node is avoided after a failed connection.
-	avoidUntil request.Instant
+	// heard is the last time at which the node is known to have lived, from its entry or from a summary that names it; for an
+	// address from the store, it is the time at which that was read.
+	heard request.Instant
+	// failed is the time of the last failed connection to the node, after which it is avoided until avoidUntil. While its entry is
+	// not renewed, it counts as gone early.
+	failed, avoidUntil request.Instant
 }
 
 // neverSent precedes any instant that the driver passes.
 const neverSent = request.Instant(-1 << 62)
 
-// Table holds the entries that a node knows; it is not safe for concurrent use.
+// Table holds the entries and summaries that a node knows; it is not safe for concurrent use.
 type Table struct {
 	settings      Settings
 	self          netip.Addr
 	zone          request.ZoneID
 	random        *rand.Rand
 	members       map[netip.Addr]*member
-	lastCrossZone request.Instant // when messages to other zones were last sent
+	summaries     map[summaryKey]*heldSummary
+	ticks         int             // number of calls of Messages
+	lastCrossZone request.Instant // when a message to another zone was last sent
+	lastRenewed   request.Instant // when the entry of the local node was last renewed
+	resumed       request.Instant // when the last pause of the local node ended
+	discovered    request.Instant // when a node of the zone was last discovered
+	isSettled     bool            // whether the node summarizes its zone
 	// minIncarnation is the lowest incarnation that supersedes the entries other nodes have of this node. The clock, from which the
 	// incarnation is derived, may have been set back since an earlier incarnation of the node.
 	minIncarnation request.Incarnation
+	// entryAges and summaryAges tell how long entries of the local zone and summaries of other zones take to arrive.
+	entryAges, summaryAges ageMeter
 }
 
 // New returns a table that contains only the local node.
 func New(s Settings, self Endpoint, random *rand.Rand) *Table {
-	t := &Table{settings: s, self: self.Address, zone: self.Zone, random: random, members: map[netip.Addr]*member{}}
-	t.lastCrossZone = neverSent
+	t := &Table{
+		settings: s, self: self.Address, zone: self.Zone, random: random,
+		members: map[netip.Addr]*member{}, summaries: map[summaryKey]*heldSummary{},
+	}
+	t.lastCrossZone, t.lastRenewed, t.resumed = neverSent, neverSent, neverSent
 	t.members[self.Address] = &member{entry: Entry{Address: self.Address, Zone: self.Zone}}
 	return t
 }
 
 // AddEndpoints adds nodes read from the store; known nodes are left unchanged.
-func (t *Table) AddEndpoints(endpoints []Endpoint) {
+func (t *Table) AddEndpoints(now request.Instant, endpoints []Endpoint) {
 	for _, e := range endpoints {
 		if t.members[e.Address] == nil {
-			t.members[e.Address] = &member{entry: Entry{Address: e.Address, Zone: e.Zone}, lastSent: neverSent}
+			t.members[e.Address] = &member{entry: Entry{Address: e.Address, Zone: e.Zone}, lastSent: neverSent, told: neverSent, heard: now}
+			if e.Zone == t.zone {
+				t.isSettled, t.discovered = false, now
+			}
 		}
 	}
 }
 
 // RenewSelf replaces the entry of the local node and increments its sequence number.
 func (t *Table) RenewSelf(now request.Instant, e Entry) {
+	if now.Sub(t.lastRenewed) >= t.settings.PauseTime {
+		t.isSettled, t.discovered = false, now
+		if t.lastRenewed != neverSent {
+			t.resumed = now
+		}
+	}
+	t.lastRenewed = now
 	m := t.members[t.self]
 	e.Address, e.Zone = t.self, t.zone
 	e.Sequence = m.entry.Sequence + 1
 	e.Incarnation = max(e.Incarnation, t.minIncarnation)
 	m.entry, m.renewed, m.hasEntry = e, now, true
+	if now >= t.resumed.Add(t.settings.SettleTime) {
+		t.measureAges(now)
+	}
 }
 
 // Merge adds received entries that are newer than the known ones. It returns the highest configuration version among the received
@@ -120,7 +156,7 @@
 		}
 		m := t.members[e.Address]
 		if m == nil {
-			m = &member{lastSent: neverSent}
+			m = &member{lastSent: neverSent, told: neverSent}
 			t.members[e.Address] = m
 		}
 		if m.hasEntry && !e.isNewer(&m.entry) {
@@ -129,8 +165,12 @@
 		if m.hasEntry && e.Incarnation > m.entry.Incarnation {
 			m.avoidUntil = 0
 		}
+		if e.Zone == t.zone && !t.isFresh(now, m) {
+			t.discovered = now
+		}
 		m.entry, m.hasEntry = *e, true
 		m.renewed = now.Add(-e.Age)
+		m.heard = m.renewed
 	}
 	return newest, holder
 }
@@ -138,18 +178,26 @@
 // MarkUnreachable records a failed connection to a node, which is then avoided for the given time.
 func (t *Table) MarkUnreachable(now request.Instant, a netip.Addr, d time.Duration) {
 	if m := t.members[a]; m != nil && a != t.self {
-		m.avoidUntil = now.Add(d)
+		m.failed, m.avoidUntil = now, now.Add(d)
 	}
 }
 
-// SetHealth sets the health of a node's backend server, as reported in a refusal, without waiting for its next entry.
-func (t *Table) SetHealth(a netip.Addr, h Health) {
-	if m := t.members[a]; m != nil && m.hasEntry && a != t.self {
+// SetHealth sets the health of a node's backend server, as reported in a refusal, without waiting for its next entry. A node of
+// another zone without an entry is avoided until later summaries no longer name it.
+func (t *Table) SetHealth(now request.Instant, a netip.Addr, h Health) {
+	m := t.members[a]
+	if m == nil || a == t.self {
+		return
+	}
+	if m.hasEntry {
 		m.entry.Health = h
+	} else if h != Serving {
+		m.avoidUntil = now.Add(t.settings.SummaryMaxAge)
 	}
 }
 
-// Messages returns the messages to send in one tick.
+// Messages returns the messages to send in one tick: entries of the zone to nodes of the zone, now and then the summaries of
+// other zones to one of them, and those of the local zone to a node of another one.
 func (t *Table) Messages(now request.Instant) []Message {
 	var local, remote []*member
 	for a, m := range t.members {
@@ -162,50 +210,99 @@
 			remote = append(remote, m)
 		}
 	}
-	out := t.messagesTo(now, local, t.settings.ZoneFanout, t.freshest(now, false))
-	if now.Sub(t.lastCrossZone) >= t.settings.CrossZoneInterval {
+	t.ticks++
+	local = t.recipients(local)
+	t.shuffle(remote)
+	var out []Message
+	if len(local) > 0 {
+		if out = t.appendSummaries(out, now, local[0], false); len(out) > 0 && len(local) > 1 {
+			local = local[1:]
+		}
+	}
+	for _, m := range local {
+		out = append(out, Message{To: m.entry.Address, Entries: t.nextEntries(now, m)})
+		m.lastSent = now
+	}
+	if now.Sub(t.lastCrossZone) >= t.settings.CrossZoneInterval && len(remote) > 0 {
 		t.lastCrossZone = now
-		out = append(out, t.messagesTo(now, remote, t.settings.CrossZoneFanout, t.freshest(now, true))...)
+		out = t.appendSummaries(out, now, remote[0], true)
 	}
 	return out
 }
 
-// isDue reports whether a node may be sent a message; nodes without a fresh entry are due once per RetryInterval.
+// appendSummaries appends a message with the summaries of the local zone, or of all others, unless there are none.
+func (t *Table) appendSummaries(out []Message, now request.Instant, to *member, isOwn bool) []Message {
+	summaries := t.nextSummaries(now, isOwn)
+	if len(summaries) == 0 {
+		return out
+	}
+	to.lastSent = now
+	version := t.members[t.self].entry.ConfigurationVersion
+	return append(out, Message{To: to.entry.Address, Summaries: summaries, ConfigurationVersion: version})
+}
+
+// isDue reports whether a node may be sent a message; nodes without a sign of life are due once per RetryInterval.
 func (t *Table) isDue(now request.Instant, m *member) bool {
-	return t.isFresh(now, m) || now.Sub(m.lastSent) >= t.settings.RetryInterval
+	isLive := t.isFresh(now, m) || m.entry.Zone != t.zone && now.Sub(m.heard) < maxSilence
+	return isLive || now.Sub(m.lastSent) >= t.settings.RetryInterval
 }
 
-// messagesTo addresses the entries to up to n random candidates.
-func (t *Table) messagesTo(now request.Instant, candidates []*member, n int, entries []Entry) []Message {
-	slices.SortFunc(candidates, func(a, b *member) int { return a.entry.Address.Compare(b.entry.Address) })
-	t.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	var out []Message
-	for _, m := range candidates[:min(n, len(candidates))] {
-		m.lastSent = now
-		out = append(out, Message{To: m.entry.Address, Entries: entries})
+// recipients returns the nodes of the zone that a tick sends messages to. All but the last one are at distances in the order of
+// addresses that double with each tick, so that news reaches all nodes after about log2(n) ticks and no node is left out for long, as
+// some always are if all choices are random. The last one is random, so that nodes that know different parts of the zone meet.
+func (t *Table) recipients(candidates []*member) []*member {
+	t.shuffle(candidates)
+	n := len(candidates)
+	if n <= t.settings.ZoneFanout {
+		return candidates
+	}
+	random := candidates[0]
+	slices.SortFunc(candidates, compareAddresses)
+	begin, _ := slices.BinarySearchFunc(candidates, t.self, func(m *member, a netip.Addr) int { return m.entry.Address.Compare(a) })
+	var out []*member
+	steps := bits.Len(uint(n - 1))
+	for i := range t.settings.ZoneFanout - 1 {
+		distance := 1 << ((t.ticks + i*steps/t.settings.ZoneFanout) % steps)
+		if m := candidates[(begin+distance-1)%n]; !slices.Contains(out, m) {
+			out = append(out, m)
+		}
+	}
+	if !slices.Contains(out, random) {
+		out = append(out, random)
 	}
 	return out
 }
 
-// freshest returns the entry of the local node and the most recently renewed other entries, limited to the local zone if zoneOnly
-// is set.
-func (t *Table) freshest(now request.Instant, zoneOnly bool) []Entry {
-	var fresh []*member
+func compareAddresses(a, b *member) int { return a.entry.Address.Compare(b.entry.Address) }
+
+// shuffle puts the members into a random order that depends only on the random source.
+func (t *Table) shuffle(members []*member) {
+	slices.SortFunc(members, compareAddresses)
+	t.random.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+}
+
+// nextEntries returns the entries for one message to a node of the zone: that of the local node, then those of other nodes in a
+// random order, first those renewed since they were last sent. Sending the most recently renewed ones instead would leave out the
+// same entries for seconds in a zone of more nodes than fit into a message.
+func (t *Table) nextEntries(now request.Instant, to *member) []Entry {
+	maxAge := t.zoneMaxAge(now)
+	var candidates []*member
 	for a, m := range t.members {
-		if a != t.self && m.hasEntry && t.isFresh(now, m) && (!zoneOnly || m.entry.Zone == t.zone) {
-			fresh = append(fresh, m)
+		if a != t.self && m != to && m.hasEntry && m.entry.Zone == t.zone && now.Sub(m.renewed) < maxAge {
+			candidates = append(candidates, m)
 		}
 	}
-	slices.SortFunc(fresh, func(a, b *member) int {
-		if a.renewed != b.renewed {
-			return int(b.renewed - a.renewed)
-		}
-		return a.entry.Address.Compare(b.entry.Address)
-	})
+	t.shuffle(candidates)
+	slices.SortStableFunc(candidates, func(a, b *member) int { return compareNews(a.renewed, a.told, b.renewed, b.told) })
 	out := []Entry{t.members[t.self].entry}
-	for _, m := range fresh[:min(len(fresh), t.settings.MaxEntriesPerMessage-1)] {
+	size := messageOverhead + out[0].size()
+	for _, m := range candidates {
 		e := m.entry
 		e.Age = now.Sub(m.renewed)
+		if size += e.size(); size > MaxMessageBytes {
+			break
+		}
+		m.told = now
 		out = append(out, e)
 	}
 	return out
@@ -218,11 +315,39 @@
 	}
 	limit := t.settings.CrossZoneMaxAge
 	if m.entry.Zone == t.zone {
-		limit = t.settings.ZoneMaxAge
+		limit = t.zoneMaxAge(now)
+	}
+	if m.failed > m.renewed {
+		limit = min(limit, t.settings.ZoneMaxAge)
 	}
 	return m.hasEntry && now.Sub(m.renewed) < limit
 }
 
+// zoneMaxAge returns the age at which entries of the local zone become stale.
+func (t *Table) zoneMaxAge(now request.Instant) time.Duration {
+	if now < t.resumed.Add(t.settings.SettleTime) {
+		return maxSilence // the local node was paused, the others were not silent
+	}
+	return t.entryAges.maxAge(t.settings.ZoneMaxAge)
+}
+
+// measureAges updates the ages of the entries of the local zone and of the summaries of other zones.
+func (t *Table) measureAges(now request.Instant) {
+	var entries, summaries []time.Duration
+	for a, m := range t.members {
+		if a != t.self && m.hasEntry && m.entry.Zone == t.zone {
+			entries = append(entries, now.Sub(m.renewed))
+		}
+	}
+	for key, h := range t.summaries {
+		if key.zone != t.zone {
+			summaries = append(summaries, now.Sub(h.made))
+		}
+	}
+	t.entryAges.update(entries)
+	t.summaryAges.update(summaries)
+}
+
 // Instance is the last known state of a backend server.
 type Instance struct {
 	Entry
@@ -231,26 +356,71 @@
 	IsFresh bool
 	// IsUnreachable is set if a connection to its node failed recently.
 	IsUnreachable bool
+	// IsSummarized is set if a summary of its zone counts the instance.
+	IsSummarized bool
 }
 
-// Snapshot returns the known instances, sorted by address.
-func (t *Table) Snapshot(now request.Instant) []Instance {
-	out := make([]Instance, 0, len(t.members))
+// View is what a node knows of the fleet.
+type View struct {
+	// Instances are the instances of the local zone and those of other zones that summaries name, sorted by address.
+	Instances []Instance
+	// Summaries are those of other zones.
+	Summaries []Summary
+}
+
+// Snapshot returns the current view.
+func (t *Table) Snapshot(now request.Instant) View {
+	v := View{Summaries: t.Summaries(now)}
+	isSummarized := map[summaryKey]bool{}
+	for _, s := range v.Summaries {
+		isSummarized[summaryKey{s.Zone, s.Service}] = true
+		for _, server := range s.Servers {
+			if m := t.members[server.Address]; m != nil && m.entry.Zone != t.zone {
+				v.Instances = append(v.Instances, Instance{
+					Entry: Entry{
+						Address: server.Address, Zone: s.Zone, Service: s.Service, Instance: server.Instance, Age: s.Age, Health: Serving, Limit: server.Limit,
+						DominantRoute: server.DominantRoute, ServiceTime: server.ServiceTime,
+					},
+					IsFresh: true, IsUnreachable: now < m.avoidUntil, IsSummarized: true,
+				})
+			}
+		}
+	}
 	for a, m := range t.members {
-		if m.hasEntry {
+		if m.hasEntry && (m.entry.Zone == t.zone || !isSummarized[summaryKey{m.entry.Zone, m.entry.Service}]) {
 			e := m.entry
 			e.Age = now.Sub(m.renewed)
-			out = append(out, Instance{Entry: e, IsSelf: a == t.self, IsFresh: t.isFresh(now, m), IsUnreachable: now < m.avoidUntil})
+			v.Instances = append(v.Instances, Instance{Entry: e, IsSelf: a == t.self, IsFresh: t.isFresh(now, m), IsUnreachable: now < m.avoidUntil})
 		}
 	}
-	slices.SortFunc(out, func(a, b Instance) int { return a.Address.Compare(b.Address) })
-	return out
+	slices.SortFunc(v.Instances, func(a, b Instance) int { return a.Address.Compare(b.Address) })
+	return v
 }
 
-// RemoveOlder removes nodes whose last entry is older than maxAge, so that replaced instances do not accumulate.
+// LiveNodes returns the number of nodes in the fleet that are known to live.
+func (v View) LiveNodes() int {
+	n := 0
+	for _, in := range v.Instances {
+		if in.IsFresh && !in.IsSummarized {
+			n++
+		}
+	}
+	for _, s := range v.Summaries {
+		n += int(s.Nodes)
+	}
+	return n
+}
+
+// RemoveOlder removes nodes without a sign of life for maxAge, so that replaced instances do not accumulate, and summaries of
+// that age. The nodes of a zone of which all are silent are kept: the zone is cut off, and its nodes are needed when it is not.
 func (t *Table) RemoveOlder(now request.Instant, maxAge time.Duration) {
+	t.removeSummaries(now, maxAge)
+	heard := map[request.ZoneID]request.Instant{}
+	for _, m := range t.members {
+		heard[m.entry.Zone] = max(heard[m.entry.Zone], m.heard)
+	}
 	for a, m := range t.members {
-		if a != t.self && m.hasEntry && now.Sub(m.renewed) > maxAge {
+		if a != t.self && now.Sub(m.heard) > maxAge && now.Sub(heard[m.entry.Zone]) <= maxAge {
 			delete(t.members, a)
 		}
 	}
--- a/mesh/costs.go
+++ b/mesh/costs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sapphiretack/sapphiretack/fleet"
+	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/routing"
 	"github.com/sapphiretack/sapphiretack/tree"
 )
@@ -60,19 +61,25 @@
 	return map[routing.RouteID]tree.Cost{}
 }
 
-// isCostWriter reports whether this node writes costs, which is the task of the one with the lowest address. While nodes
+// isCostWriter reports whether this node writes costs, which is the task of the one with the lowest
+// address in the first zone. While nodes
 // disagree on which one that is, several write and the last write wins.
 func (n *Node) isCostWriter() bool {
 	n.fleetMu.Lock()
-	instances := n.fleet.Snapshot(n.now())
+	view := n.fleet.Snapshot(n.now())
 	n.fleetMu.Unlock()
-	return hasLowestAddress(instances, n.settings.Address)
+	return isFirst(view, n.settings.Zone, n.settings.Address)
 }
 
-// hasLowestAddress reports whether no fresh instance has a lower address than own.
-func hasLowestAddress(instances []fleet.Instance, own netip.Addr) bool {
-	for _, in := range instances {
-		if in.IsFresh && in.Address.Less(own) {
+// isFirst reports whether no other live zone has a lower name than own, and no live node of the zone a lower address.
+func isFirst(view fleet.View, zone request.ZoneID, own netip.Addr) bool {
+	for i := range view.Summaries {
+		if view.Summaries[i].Zone < zone {
+			return false
+		}
+	}
+	for _, in := range view.Instances {
+		if in.IsFresh && (in.Zone < zone || in.Zone == zone && in.Address.Less(own)) {
 			return false
 		}
 	}
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -80,18 +80,21 @@
 	n.fleetMu.Lock()
 	n.fleet.RenewSelf(now, entry)
 	messages := n.fleet.Messages(now)
-	instances := n.fleet.Snapshot(now)
+	known := n.fleet.Snapshot(now)
 	n.fleet.RemoveOlder(now, forgetAfter)
 	n.fleetMu.Unlock()
 
-	n.updatePlanner(instances)
+	own := n.updatePlanner(known)
+	n.fleetMu.Lock()
+	n.fleet.SetSummaries(now, own)
+	n.fleetMu.Unlock()
 	for _, m := range messages {
-		n.sendEntries(m)
+		n.sendMessage(m)
 	}
 	n.retryBudgetMu.Lock()
 	retriesLeft := n.retryBudget.Remaining(now, entry.Service)
 	n.retryBudgetMu.Unlock()
-	view := newFleetView(instances)
+	view := newFleetView(known)
 	n.metrics.updateGauges(entry, n.ticks.load, view, retriesLeft)
 	if n.ticks.number%ticksPerPlanLine == 0 {
 		n.logPlan(view, n.ticks.late)
@@ -99,21 +102,16 @@
 	}
 }
 
-// updatePlanner updates the planner and the minimum of the retry budget from the known instances.
-func (n *Node) updatePlanner(instances []fleet.Instance) {
-	fresh := 0
-	for _, i := range instances {
-		if i.IsFresh {
-			fresh++
-		}
-	}
+// updatePlanner updates the planner and the minimum of the retry budget from a view of the fleet, and returns the summaries of
+// the local zone.
+func (n *Node) updatePlanner(view fleet.View) []fleet.Summary {
 	n.retryBudgetMu.Lock()
-	n.retryBudget.SetMinRetries(uint32(n.settings.RetrySlack / 3 / max(1, fresh)))
+	n.retryBudget.SetMinRetries(uint32(n.settings.RetrySlack / 3 / max(1, view.LiveNodes())))
 	n.retryBudgetMu.Unlock()
 	c := n.configuration.Load()
 	n.plannerMu.Lock()
 	defer n.plannerMu.Unlock()
-	n.planner.Update(n.now(), instances, func(id routing.RouteID) (placement.Route, bool) {
+	n.planner.Update(n.now(), view, func(id routing.RouteID) (placement.Route, bool) {
 		cost := n.costs.Of(id)
 		if c == nil || cost == nil {
 			return placement.Route{}, false
@@ -128,13 +126,14 @@
 		}
 		return placement.Route{Rank: r.Rank, Service: r.MainService(), Cost: cost, LatencyBound: bound}, true
 	})
+	return placement.Summarize(placement.DefaultSettings(), n.settings.Zone, view, n.rng)
 }
 
-// sendEntries sends one gossip message.
-func (n *Node) sendEntries(m fleet.Message) {
-	data, err := fleet.Encode(m.Entries)
+// sendMessage sends one gossip message.
+func (n *Node) sendMessage(m fleet.Message) {
+	data, err := fleet.Encode(m)
 	if err != nil {
-		n.log.Warn().Str("event", "message_failed").Err(err).Msg("cannot encode gossip entries; message not sent")
+		n.log.Warn().Str("event", "message_failed").Err(err).Msg("cannot encode a gossip message; message not sent")
 		return
 	}
 	to := netip.AddrPortFrom(m.To, n.settings.Gossip.Port())
@@ -146,7 +145,7 @@
 	n.metrics.gossipSent.Inc(int64(len(data)))
 }
 
-// receiveLoop merges gossip messages from other nodes into the fleet table, and fetches a newer configuration they announce.
+// receiveLoop merges gossip messages of other nodes into the fleet table, and fetches a newer configuration they announce.
 func (n *Node) receiveLoop(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = n.gossipConn.Close() })
 	defer stop()
@@ -160,14 +159,18 @@
 			n.metrics.gossipErrors.Inc(1)
 			continue
 		}
-		entries, err := fleet.Decode(buffer[:size])
+		m, err := fleet.Decode(buffer[:size])
 		if err != nil {
 			n.log.Warn().Str("event", "message_unreadable").Str("from", from.String()).Err(err).Msg("cannot decode a gossip message from another node; message ignored")
 			continue
 		}
 		n.fleetMu.Lock()
-		version, holder := n.fleet.Merge(n.now(), entries)
+		version, holder := n.fleet.Merge(n.now(), m.Entries)
+		n.fleet.MergeSummaries(n.now(), m.Summaries)
 		n.fleetMu.Unlock()
+		if m.ConfigurationVersion > version {
+			version, holder = m.ConfigurationVersion, from.Addr().Unmap()
+		}
 		if version > n.configuration.Version() {
 			n.scheduleFetch(ctx, holder, version)
 		}
--- a/mesh/log.go
+++ b/mesh/log.go
@@ -91,26 +91,34 @@
 	n.plannerMu.Unlock()
 	n.log.Info().Str("event", "plan").Dict("fractions", fractions).Dict("loads", loads).Dict("uses", uses).
 		Dict("instances", instances).Dict("slots", slots).
-		Int("known", view.known).Int("fresh", view.fresh).Dur("oldest", view.oldest).Dur("late", late).
+		Int("known", view.known).Int("fresh", view.fresh).Dur("oldest", view.oldest).Dur("oldest_summary", view.oldestSummary).Dur("late", late).
 		Dict("gate", n.backend.gateFields(n.now())).
 		Int64("config_version", int64(n.configuration.Version())).Msg("admission and placement state")
 }
 
 // fleetView summarizes how much of the fleet a node knows.
 type fleetView struct {
+	// known is the number of nodes with an entry or in a summary; fresh does not count those whose entry is stale.
 	known, fresh int
-	// oldest is the age of the oldest fresh entry.
-	oldest time.Duration
+	// oldest is the age of the oldest fresh entry, and oldestSummary that of the oldest summary.
+	oldest, oldestSummary time.Duration
 }
 
-func newFleetView(instances []fleet.Instance) fleetView {
-	v := fleetView{known: len(instances)}
-	for _, i := range instances {
-		if i.IsFresh {
-			v.fresh++
+func newFleetView(view fleet.View) fleetView {
+	v := fleetView{fresh: view.LiveNodes()}
+	v.known = v.fresh
+	for _, i := range view.Instances {
+		switch {
+		case i.IsSummarized:
+		case i.IsFresh:
 			v.oldest = max(v.oldest, i.Age)
+		default:
+			v.known++
 		}
 	}
+	for i := range view.Summaries {
+		v.oldestSummary = max(v.oldestSummary, view.Summaries[i].Age)
+	}
 	return v
 }
 
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -204,7 +204,7 @@
 		return
 	}
 	n.fleetMu.Lock()
-	n.fleet.SetHealth(t.Address, health)
+	n.fleet.SetHealth(n.now(), t.Address, health)
 	n.fleetMu.Unlock()
 }
 
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -174,7 +174,7 @@
 			continue
 		}
 		n.fleetMu.Lock()
-		n.fleet.AddEndpoints(addresses)
+		n.fleet.AddEndpoints(n.now(), addresses)
 		n.fleetMu.Unlock()
 		n.hasPeerAddresses.Store(true)
 		if reads == 0 {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -75,7 +75,7 @@
 // plannerOf returns the planner of one node in a zone; each node has its own random seed.
 func (d *deployment) plannerOf(zone request.ZoneID, node uint64) *placement.Planner {
 	p := placement.New(placement.DefaultSettings(), zone, rand.New(rand.NewPCG(node, 2)))
-	p.Update(0, d.instances, func(r routing.RouteID) (placement.Route, bool) {
+	p.Update(0, fleet.View{Instances: d.instances}, func(r routing.RouteID) (placement.Route, bool) {
 		route, ok := d.routes[r]
 		return route, ok
 	})
@@ -404,7 +404,7 @@
 			}
 			p := placement.New(placement.DefaultSettings(), "zone1", rand.New(rand.NewPCG(1, 2)))
 			for b.Loop() {
-				p.Update(0, instances, func(r routing.RouteID) (placement.Route, bool) {
+				p.Update(0, fleet.View{Instances: instances}, func(r routing.RouteID) (placement.Route, bool) {
 					route, ok := routes[r]
 					return route, ok
 				})
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/sapphiretack/sapphiretack/fleet"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/routing"
 	"github.com/sapphiretack/sapphiretack/tree"
@@ -88,11 +89,8 @@
 // rates returns the routes with traffic that the lookup function knows, and their request rates by zone.
 func (p *Planner) rates(route func(routing.RouteID) (Route, bool)) (map[routing.RouteID]Route, map[routing.RouteID]zoneRates) {
 	routes, rates := map[routing.RouteID]Route{}, map[routing.RouteID]zoneRates{}
-	for _, in := range p.instances {
-		if !in.IsFresh {
-			continue
-		}
-		for _, rate := range in.Rates {
+	add := func(zone request.ZoneID, received []fleet.Rate) {
+		for _, rate := range received {
 			byZone := rates[rate.Route]
 			if byZone == nil {
 				r, ok := route(rate.Route)
@@ -102,9 +100,17 @@
 				byZone = zoneRates{}
 				routes[rate.Route], rates[rate.Route] = r, byZone
 			}
-			byZone[in.Zone] += float64(rate.PerSecond)
+			byZone[zone] += float64(rate.PerSecond)
 		}
 	}
+	for _, in := range p.instances {
+		if in.IsFresh && !in.IsSummarized {
+			add(in.Zone, in.Rates)
+		}
+	}
+	for i := range p.summaries {
+		add(p.summaries[i].Zone, p.summaries[i].Rates)
+	}
 	return routes, rates
 }
 
--- a/placement/planner.go
+++ b/placement/planner.go
@@ -63,6 +63,7 @@
 	zone         request.ZoneID
 	random       *rand.Rand
 	instances    []fleet.Instance
+	summaries    []fleet.Summary
 	zones        map[request.ServiceID]map[request.ZoneID]*zoneLoad
 	zoneNames    []request.ZoneID
 	shares       map[routing.RouteID]Share
@@ -79,42 +80,22 @@
 	return &Planner{settings: s, zone: zone, random: random, localSpeed: 1, zones: map[request.ServiceID]map[request.ZoneID]*zoneLoad{}}
 }
 
-// Update recomputes the plan from the given instances; route looks up a route.
-func (p *Planner) Update(now request.Instant, instances []fleet.Instance, route func(routing.RouteID) (Route, bool)) {
+// Update recomputes the plan from a view of the fleet; route looks up a route.
+func (p *Planner) Update(now request.Instant, view fleet.View, route func(routing.RouteID) (Route, bool)) {
 	p.updated = now
-	p.instances = instances
+	p.instances, p.summaries = view.Instances, view.Summaries
 	p.zones = map[request.ServiceID]map[request.ZoneID]*zoneLoad{}
 	p.zoneNames = p.zoneNames[:0]
-	speeds := relativeSpeeds(instances)
-	p.weights = instanceWeights(instances, speeds)
+	times := meanRouteTimes(view)
+	speeds := relativeSpeeds(view.Instances, times)
+	p.weights = instanceWeights(view.Instances, speeds)
 	p.localSpeed = 1
-	p.serviceTimes = meanServiceTimes(instances)
-	seenZones := map[request.ZoneID]bool{}
-	minFailures := minFailureRates(instances)
-	failing, limits := map[request.ServiceID]float64{}, map[request.ServiceID]float64{}
-	for i, in := range instances {
-		if in.IsSelf {
-			p.localSpeed = speeds[i]
-		}
-		if !in.IsFresh || in.Health != fleet.Serving || in.IsUnreachable {
-			continue
-		}
-		if !seenZones[in.Zone] {
-			seenZones[in.Zone] = true
-			p.zoneNames = append(p.zoneNames, in.Zone)
-		}
-		z := p.zoneLoadOf(in.Service, in.Zone)
-		if p.isAvoided(in, minFailures[in.Service]) {
-			z.avoided = append(z.avoided, i)
-			continue
-		}
-		failing[in.Service] += float64(in.FailurePercent) / 100 * float64(in.Limit)
-		limits[in.Service] += float64(in.Limit)
-		z.usable = append(z.usable, i)
-		z.limit += float64(in.Limit)
-		z.capacity += float64(in.Limit) * speeds[i]
-		z.load += float64(in.LoadPermille) / 1000 * float64(in.Limit)
-	}
+	p.serviceTimes = meanServiceTimes(view)
+	failures := failureSum{}
+	p.addInstances(speeds, minFailureRates(view), failures)
+	p.addSummaries(times, failures)
+	slices.Sort(p.zoneNames)
+
 	latencyRatios := map[request.ServiceID]float64{}
 	routes, rates := p.rates(route)
 	for _, r := range routes {
@@ -134,14 +115,71 @@
 				z.load /= z.limit
 			}
 		}
-		if limits[s] > 0 {
-			p.successRates[s] = 1 - failing[s]/limits[s]
-			capacity[s] /= 1 + p.settings.queueCorrection(load/limits[s]-1, latencyRatios[s])
+		if f := failures[s]; f.limit > 0 {
+			p.successRates[s] = 1 - f.failing/f.limit
+			capacity[s] /= 1 + p.settings.queueCorrection(load/f.limit-1, latencyRatios[s])
 		}
 	}
 	p.plan(capacity, routes, rates)
 }
 
+// failureSum sums the limits of the usable instances of each service, and these weighted by the fraction of failed attempts.
+type failureSum map[request.ServiceID]struct{ failing, limit float64 }
+
+func (f failureSum) add(s request.ServiceID, failurePercent uint8, limit float64) {
+	sum := f[s]
+	sum.failing += float64(failurePercent) / 100 * limit
+	sum.limit += limit
+	f[s] = sum
+}
+
+// addInstances adds the instances to the loads of their zones; a summary already counts those that it names.
+func (p *Planner) addInstances(speeds []float64, minFailures map[request.ServiceID]uint8, failures failureSum) {
+	for i, in := range p.instances {
+		if in.IsSelf {
+			p.localSpeed = speeds[i]
+		}
+		if !isAvailable(in) {
+			continue
+		}
+		p.addZone(in.Zone)
+		z := p.zoneLoadOf(in.Service, in.Zone)
+		if p.settings.isAvoided(in, minFailures[in.Service]) {
+			z.avoided = append(z.avoided, i)
+			continue
+		}
+		z.usable = append(z.usable, i)
+		if in.IsSummarized {
+			continue
+		}
+		failures.add(in.Service, in.FailurePercent, float64(in.Limit))
+		z.instances++
+		z.limit += float64(in.Limit)
+		z.capacity += float64(in.Limit) * speeds[i]
+		z.load += float64(in.LoadPermille) / 1000 * float64(in.Limit)
+	}
+}
+
+// addSummaries adds the summaries of other zones to the loads of these zones.
+func (p *Planner) addSummaries(times map[routing.RouteID]float64, failures failureSum) {
+	for i := range p.summaries {
+		s := &p.summaries[i]
+		p.addZone(s.Zone)
+		z := p.zoneLoadOf(s.Service, s.Zone)
+		failures.add(s.Service, s.FailurePercent, float64(s.Slots))
+		z.instances += int(s.Instances)
+		z.limit += float64(s.Slots)
+		z.capacity += summaryCapacity(s, times)
+		z.load += float64(s.LoadPermille) / 1000 * float64(s.Slots)
+	}
+}
+
+func (p *Planner) addZone(zone request.ZoneID) {
+	if !slices.Contains(p.zoneNames, zone) {
+		p.zoneNames = append(p.zoneNames, zone)
+	}
+}
+
 // ZoneState is the planned and reported load of a service in one zone.
 type ZoneState struct {
 	Service request.ServiceID
@@ -178,7 +216,7 @@
 	n := 0
 	for _, byZone := range p.zones {
 		for _, z := range byZone {
-			n += len(z.usable)
+			n += z.instances
 		}
 	}
 	return n
