mesh: refuse attempts for another service at the gate

Machines of autorizza had been lost at 26 s and their addresses were used again by machines of vetrina; a node of another zone still sent to the old address. The gate never compared the expected incarnation that an attempt names with its own, so only the age of entries, 1.5 s across zones, kept this from happening before.

Change: the call header names the service in place of the incarnation, and a gate of another service refuses the attempt before it runs. A backend server of the same service that has restarted is not refused. Attempts of nodes of earlier versions name no service and run as before; those nodes ignore the field.

Measured: mesh.TestReusedAddress fails without the change (the attempt is answered) and passes with it.

--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -36,7 +36,8 @@
 	// isIdempotent is set if the request may safely run more than once.
 	isIdempotent bool
 	deadline     request.Instant
-	incarnation  request.InstanceID // the incarnation of the backend server that the sender expects to reach
+	// service is the service that the sender chose, or empty if a node of an earlier version sent the attempt.
+	service request.ServiceID
 }
 
 // outcome is the result of an attempt: responded, notRun or broken.
@@ -82,7 +83,10 @@
 	flagIdempotent = "s"
 )
 
-// encodeCall returns the value of the call header: route, rank, flags and expected incarnation of the backend server.
+// servicePrefix marks the last field of the call header as a service; nodes of earlier versions send an incarnation there.
+const servicePrefix = "/"
+
+// encodeCall returns the value of the call header: route, rank, flags and service.
 func (a attempt) encodeCall() string {
 	flags := ""
 	for _, f := range []struct {
@@ -94,13 +98,13 @@
 		}
 	}
 	return strings.Join([]string{
-		strconv.FormatUint(uint64(a.route), 16), strconv.Itoa(int(a.rank)), "-" + flags, string(a.incarnation),
+		strconv.FormatUint(uint64(a.route), 16), strconv.Itoa(int(a.rank)), "-" + flags, servicePrefix + string(a.service),
 	}, " ")
 }
 
 // decodeCall sets the fields of the attempt from the value of a call header.
 func (a *attempt) decodeCall(text string) error {
-	fields := strings.Split(text, " ")
+	fields := strings.SplitN(text, " ", 4)
 	if len(fields) != 4 {
 		return Error.New("call header %q does not have four fields", text)
 	}
@@ -116,13 +120,14 @@
 	a.isCall = strings.Contains(fields[2], flagCall)
 	a.isRetry = strings.Contains(fields[2], flagRetry)
 	a.isIdempotent = strings.Contains(fields[2], flagIdempotent)
-	a.incarnation = request.InstanceID(fields[3])
+	if service, ok := strings.CutPrefix(fields[3], servicePrefix); ok {
+		a.service = request.ServiceID(service)
+	}
 	return nil
 }
 
 // send runs an attempt at the gate of the target, which may be the local one.
 func (n *Node) send(ctx context.Context, a attempt, t placement.Target) outcome {
-	a.incarnation = t.Instance
 	if t.IsSelf {
 		return n.backend.run(ctx, a)
 	}
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -111,6 +111,10 @@
 // admit waits in the queue of the gate until the attempt may run. It returns a nil outcome if it may.
 func (b *backend) admit(ctx context.Context, a attempt) (admittedAttempt, outcome) {
 	n := b.node
+	if a.service != "" && a.service != *n.service.Load() {
+		// The sender knows this address from a backend server of another service that had it before.
+		return admittedAttempt{}, notRun{reason: gate.UnknownServer}
+	}
 	b.mu.Lock()
 	b.lastNumber++
 	number := b.lastNumber
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -68,6 +69,36 @@
 	d.c.Check(left > 0 && left <= 5*time.Second, qt.IsTrue, qt.Commentf("left %v", left))
 }
 
+// TestReusedAddress guards against a request that runs at another service, because the address that its sender knows now belongs to a
+// machine of that service.
+func TestReusedAddress(t *testing.T) {
+	d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+	b := d.start("transfers", "b", 0)
+	inbound := netip.AddrPortFrom(b.address, d.ports["inbound"]).String()
+	for _, attempt := range []struct {
+		call, result string
+	}{
+		{"1 0 -s /registry", "not_run unknown_server"},
+		{"1 0 -s /transfers", "answered"},
+		{"1 0 -s i-registry-1", "answered"}, // a node of an earlier version names the incarnation, and not the service
+	} {
+		r, err := standin.NewApplicationRequest(context.Background(), inbound, "ledger.example", http.MethodGet, "/birds/1", "id", time.Second, nil, 0)
+		d.c.Assert(err, qt.IsNil)
+		r.Header.Set("Sapphiretack-Call", attempt.call)
+		d.eventually("the node listens", func() bool {
+			response, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				return false
+			}
+			_ = response.Body.Close()
+			result := response.Header.Get("Sapphiretack-Result")
+			d.c.Check(strings.HasPrefix(result, attempt.result), qt.IsTrue, qt.Commentf("%s: %s", attempt.call, result))
+			return true
+		})
+	}
+	d.c.Check(b.application.Runs(), qt.HasLen, 2)
+}
+
 // TestNoRoute guards against a request without a matching route that is run, or that gets a status other than 404.
 func TestNoRoute(t *testing.T) {
 	d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -33,7 +33,6 @@
 type outboundRequest struct {
 	attempt
 	route          *routing.Route
-	service        request.ServiceID
 	parent         string // id of the running request that makes this call, or empty
 	arrived        request.Instant
 	timeout        time.Duration
@@ -100,8 +99,9 @@
 		attempt: attempt{
 			id: info.ID, method: r.Method, target: r.RequestURI, host: r.Host, header: forwardedHeaders(r.Header),
 			route: route.ID, rank: route.Rank, isIdempotent: route.IsIdempotent,
+			service: n.splitter.Pick(c.Version, route),
 		},
-		route: route, service: n.splitter.Pick(c.Version, route), arrived: arrived, timeout: timeout,
+		route: route, arrived: arrived, timeout: timeout,
 	}
 	n.headers.WriteCaller(req.header, *n.service.Load())
 	req.deadline = arrived.Add(timeout)
