mesh: six nodes of each zone watch the store, addresses are read once

Change: - The six live nodes with the lowest addresses of each zone watch the store; the others learn the version from gossip, with entries or with summaries of any zone, and fetch the configuration from the node that announced it, without delay. Nothing is elected: a node that knows of fewer live nodes before it watches too, and so does one that has heard of no other node for 0.5 s. A node whose fetch fails reads the store itself. - Addresses are read once after the registration: of any two nodes, the one that registers later reads the address of the other. A node that hears of no other one reads them again after 1 s to 30 s.

--- a/fleet/table.go
+++ b/fleet/table.go
@@ -25,6 +25,10 @@
 	CrossZoneMaxAge time.Duration
 	// RetryInterval is the minimum time between messages to a node whose entry is stale or unknown.
 	RetryInterval time.Duration
+	// WatchersPerZone is the number of nodes of each zone that watch the store for the others.
+	WatchersPerZone int
+	// IsolationTime is the time without messages of other nodes after which a node watches the store itself.
+	IsolationTime time.Duration
 	// SettleTime is the time without news of further nodes of the zone after which a node that has started, or was paused for
 	// longer than PauseTime, summarizes its zone.
 	SettleTime, PauseTime time.Duration
@@ -36,6 +40,7 @@
 		ZoneFanout:        3,
 		CrossZoneInterval: 200 * time.Millisecond,
 		ZoneMaxAge:        time.Second, SummaryMaxAge: 1500 * time.Millisecond, CrossZoneMaxAge: 1500 * time.Millisecond,
+		WatchersPerZone: 6, IsolationTime: 500 * time.Millisecond,
 		RetryInterval: time.Second, SettleTime: 200 * time.Millisecond, PauseTime: time.Second,
 	}
 }
@@ -83,6 +88,7 @@
 	ticks         int             // number of calls of Messages
 	lastCrossZone request.Instant // when a message to another zone was last sent
 	lastRenewed   request.Instant // when the entry of the local node was last renewed
+	lastReceived  request.Instant // when a message of another node was last merged
 	resumed       request.Instant // when the last pause of the local node ended
 	discovered    request.Instant // when a node of the zone was last discovered
 	isSettled     bool            // whether the node summarizes its zone
@@ -99,7 +105,7 @@
 		settings: s, self: self.Address, zone: self.Zone, random: random,
 		members: map[netip.Addr]*member{}, summaries: map[summaryKey]*heldSummary{},
 	}
-	t.lastCrossZone, t.lastRenewed, t.resumed = neverSent, neverSent, neverSent
+	t.lastCrossZone, t.lastRenewed, t.lastReceived, t.resumed = neverSent, neverSent, neverSent, neverSent
 	t.members[self.Address] = &member{entry: Entry{Address: self.Address, Zone: self.Zone}}
 	return t
 }
@@ -140,6 +146,9 @@
 func (t *Table) Merge(now request.Instant, entries []Entry) (routing.Version, netip.Addr) {
 	var newest routing.Version
 	var holder netip.Addr
+	if len(entries) > 0 {
+		t.lastReceived = now
+	}
 	for i := range entries {
 		e := &entries[i]
 		if !e.Address.IsValid() || e.Age < 0 {
@@ -397,6 +406,22 @@
 	return v
 }
 
+// IsWatcher reports whether the local node watches the store, and tells others what changes there. These are the live nodes with
+// the lowest addresses of each zone, so that the calls to the store do not grow with the zone, and each node that hears of no
+// other one. Nothing is elected: while nodes disagree, more of them watch.
+func (t *Table) IsWatcher(now request.Instant) bool {
+	if now.Sub(t.lastReceived) >= t.settings.IsolationTime {
+		return true
+	}
+	before := 0
+	for a, m := range t.members {
+		if m.entry.Zone == t.zone && a.Less(t.self) && t.isFresh(now, m) {
+			before++
+		}
+	}
+	return before < t.settings.WatchersPerZone
+}
+
 // LiveNodes returns the number of nodes in the fleet that are known to live.
 func (v View) LiveNodes() int {
 	n := 0
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -15,22 +15,22 @@
 const (
 	// minBackoff and maxBackoff bound the delay before a failed call to the store is retried.
 	minBackoff, maxBackoff = 100 * time.Millisecond, time.Second
-	// fetchDelay leaves time for the node's own watch to deliver a version that another node already has.
+	// fetchDelay leaves time for the watch of a node that watches the store to deliver a version that another node already has.
 	fetchDelay = 150 * time.Millisecond
 	// fetchTimeout bounds fetching a configuration from another node.
 	fetchTimeout = 800 * time.Millisecond
 	// maxConfigurationBytes is the maximum size in bytes of an encoded configuration.
 	maxConfigurationBytes = 4 << 20
-	// addressReadInterval is the delay before the addresses are read for the second time; it grows with each read.
-	addressReadInterval = 400 * time.Millisecond
-	// addressReads is the number of times the addresses are read after a start, since machines that start at about the same
-	// time may register later.
-	addressReads = 4
+	// roleInterval is the time between checks of whether this node has to watch the store.
+	roleInterval = 100 * time.Millisecond
+	// minAddressInterval and maxAddressInterval bound the time between reads of the addresses while no other node is heard of.
+	minAddressInterval, maxAddressInterval = time.Second, 30 * time.Second
 	// configurationHost and configurationPath identify requests for the configuration on the inbound listener.
 	configurationHost, configurationPath = "sapphiretack", "/configuration"
 )
 
-// watchLoop keeps the routing configuration up to date from the store.
+// watchLoop keeps the routing configuration up to date from the store. While other nodes of the zone watch the store, this node
+// learns of changes from them.
 func (n *Node) watchLoop(ctx context.Context) error {
 	var cursor uint64
 	hasConfiguration, isStoreDown := false, false
@@ -39,6 +39,9 @@
 		var u ConfigurationUpdate
 		var err error
 		if hasConfiguration {
+			if !n.awaitWatcherRole(ctx) {
+				return nil
+			}
 			u, err = n.store.Watch(ctx, cursor)
 		} else {
 			u, err = n.store.Configuration(ctx)
@@ -67,6 +70,20 @@
 	return nil
 }
 
+// awaitWatcherRole returns when this node has to watch the store; it returns false if the context is cancelled first.
+func (n *Node) awaitWatcherRole(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		n.fleetMu.Lock()
+		isWatcher := n.fleet.IsWatcher(n.now())
+		n.fleetMu.Unlock()
+		if isWatcher {
+			return true
+		}
+		request.Sleep(ctx, roleInterval)
+	}
+	return false
+}
+
 // backOff sleeps for 0.5 to 1.5 times the backoff and doubles it.
 func (n *Node) backOff(ctx context.Context, backoff *time.Duration) {
 	n.plannerMu.Lock()
@@ -94,14 +111,28 @@
 	}
 	n.configurationFetches.Go(func() error {
 		defer n.isFetching.Store(false)
-		request.Sleep(ctx, fetchDelay)
+		n.fleetMu.Lock()
+		isWatcher := n.fleet.IsWatcher(n.now())
+		n.fleetMu.Unlock()
+		if isWatcher {
+			request.Sleep(ctx, fetchDelay)
+		}
 		if n.configuration.Version() >= version {
 			return nil
 		}
-		if err := n.fetchConfiguration(ctx, from); err != nil {
-			n.log.Warn().Str("event", "fetch_failed").Str("from", from.String()).Int64("config_version", int64(version)).Err(err).
-				Msg("cannot fetch the configuration from another node; trying again when a node announces it")
+		err := n.fetchConfiguration(ctx, from)
+		if err == nil {
+			return nil
+		}
+		n.log.Warn().Str("event", "fetch_failed").Str("from", from.String()).Int64("config_version", int64(version)).Err(err).
+			Msg("cannot fetch the configuration from another node; reading it from the store")
+		u, err := n.store.Configuration(ctx)
+		if err != nil || u.Configuration == nil {
+			n.log.Warn().Str("event", "fetch_failed").Str("from", "store").Int64("config_version", int64(version)).Err(err).
+				Msg("cannot read the configuration from the store; trying again when a node announces it")
+			return nil
 		}
+		n.applyConfiguration(u.Configuration, u.Encoded, "store")
 		return nil
 	})
 }
@@ -166,7 +197,14 @@
 		}
 		n.backOff(ctx, &backoff)
 	}
-	for reads := 0; reads < addressReads && ctx.Err() == nil; {
+	// One read after the registration suffices: of any two nodes, the one that registers later reads the address of the other one,
+	// and tells it and all others of itself.
+	interval := minAddressInterval
+	for ctx.Err() == nil {
+		if !n.isAlone() {
+			request.Sleep(ctx, interval)
+			continue
+		}
 		addresses, err := n.store.Addresses(ctx)
 		if err != nil {
 			n.log.Warn().Str("event", "addresses_unread").Err(err).Msg("cannot read the addresses of other nodes from the store; retrying")
@@ -177,12 +215,19 @@
 		n.fleet.AddEndpoints(n.now(), addresses)
 		n.fleetMu.Unlock()
 		n.hasPeerAddresses.Store(true)
-		if reads == 0 {
-			n.log.Info().Str("event", "addresses").Int("nodes", len(addresses)).Msg("read the addresses of other nodes")
-		}
-		reads++
-		request.Sleep(ctx, addressReadInterval*time.Duration(reads))
+		n.log.Info().Str("event", "addresses").Int("nodes", len(addresses)).Msg("read the addresses of other nodes")
+		request.Sleep(ctx, interval)
+		interval = min(2*interval, maxAddressInterval)
 	}
-	<-ctx.Done()
 	return nil
 }
+
+// isAlone reports whether this node has not read the addresses of other nodes yet, or hears of none.
+func (n *Node) isAlone() bool {
+	if !n.hasPeerAddresses.Load() {
+		return true
+	}
+	n.fleetMu.Lock()
+	defer n.fleetMu.Unlock()
+	return n.fleet.Snapshot(n.now()).LiveNodes() <= 1
+}
