mesh: a node that is registered already does not register again

Change: a node reads the addresses first, and registers only if its own is not among them; then it reads them again. When the whole deployment starts for the first time, which the settings tell (first_start, from the platform's bootstrap), it registers first.

Measured: mesh.TestRestartIsRegistered (one registration of two nodes, the other one is in the store).

--- a/mesh/deployment.go
+++ b/mesh/deployment.go
@@ -29,6 +29,8 @@
 	// Metrics serves the metrics of the node; an invalid address disables it.
 	Metrics netip.AddrPort
 
+	// IsFirstStart is set if all nodes of the deployment start for the first time, so that none is registered in the store.
+	IsFirstStart bool
 	// DrainTime is how long a backend server may receive requests after the node acknowledged that it is leaving.
 	DrainTime time.Duration
 	// StopTime is the maximum run time of the process after SIGTERM.
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -35,6 +36,8 @@
 	addresses []fleet.Endpoint
 	costs     map[routing.RouteID]tree.Cost
 	isDown    bool
+	// registrations counts the calls of Register.
+	registrations int
 }
 
 func newMemoryStore() *memoryStore {
@@ -82,7 +85,10 @@
 func (d *memoryStore) Register(_ context.Context, a fleet.Endpoint) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.addresses = append(d.addresses, a)
+	d.registrations++
+	if !slices.Contains(d.addresses, a) {
+		d.addresses = append(d.addresses, a)
+	}
 	return nil
 }
 
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -18,6 +18,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
 
+	"github.com/sapphiretack/sapphiretack/fleet"
 	"github.com/sapphiretack/sapphiretack/mesh"
 	"github.com/sapphiretack/sapphiretack/routing"
 	"github.com/sapphiretack/sapphiretack/standin"
@@ -290,6 +291,21 @@
 	_ = a
 }
 
+// TestRestartIsRegistered guards against nodes that write their address again at each start, which takes the store most of a second
+// when all restart at once, and against a new node that no other one learns of.
+func TestRestartIsRegistered(t *testing.T) {
+	d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+	known := fleet.Endpoint{Address: netip.AddrFrom4([4]byte{127, 1, d.network, 1}), Zone: "a"}
+	d.store.addresses = []fleet.Endpoint{known}
+	d.start("registry", "a", 0)
+	b := d.start("registry", "b", 0)
+	d.waitUntilServing("/birds/1")
+	d.store.mu.Lock()
+	defer d.store.mu.Unlock()
+	d.c.Check(d.store.registrations, qt.Equals, 1)
+	d.c.Check(slices.Equal(d.store.addresses, []fleet.Endpoint{known, {Address: b.address, Zone: "b"}}), qt.IsTrue, qt.Commentf("%v", d.store.addresses))
+}
+
 // TestGracefulShutdown guards against a graceful shutdown that aborts a request in flight.
 func TestGracefulShutdown(t *testing.T) {
 	d := newDeployment(t, ledgerConfiguration(1, birdsRoute(), routing.Route{Name: "quick", Prefix: "/quick/", Services: toService("transfers"), IsIdempotent: true}))
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sapphiretack/sapphiretack/fleet"
@@ -179,8 +180,29 @@
 	}
 }
 
-// registerLoop registers the address of this node in the store and reads those of other nodes.
+// registerLoop makes the address of this node known in the store and reads those of other nodes.
 func (n *Node) registerLoop(ctx context.Context) error {
+	// The address of a node that has restarted is in the store already. When all nodes restart at once, reading takes them a few
+	// milliseconds, and the store takes most of a second to write all addresses.
+	isRegistered := !n.settings.IsFirstStart && n.readAddresses(ctx)
+	if !isRegistered {
+		// One read after the registration suffices: of any two nodes, the one that registers later reads the address of the other
+		// one, and tells it and all others of itself.
+		n.register(ctx)
+		n.readAddresses(ctx)
+	}
+	for interval := minAddressInterval; ctx.Err() == nil; {
+		request.Sleep(ctx, interval)
+		if n.isAlone() {
+			n.readAddresses(ctx)
+			interval = min(2*interval, maxAddressInterval)
+		}
+	}
+	return nil
+}
+
+// register stores the address of this node, retrying until that succeeds.
+func (n *Node) register(ctx context.Context) {
 	backoff := minBackoff
 	self := fleet.Endpoint{Address: n.settings.Address, Zone: n.settings.Zone}
 	for isStoreDown := false; ctx.Err() == nil; {
@@ -189,7 +211,7 @@
 			if isStoreDown {
 				n.log.Info().Str("event", "dependency_regained").Str("dependency", "store").Msg("node address registered in the store")
 			}
-			break
+			return
 		}
 		if !isStoreDown {
 			isStoreDown = true
@@ -197,36 +219,31 @@
 		}
 		n.backOff(ctx, &backoff)
 	}
-	// One read after the registration suffices: of any two nodes, the one that registers later reads the address of the other one,
-	// and tells it and all others of itself.
-	interval := minAddressInterval
-	for ctx.Err() == nil {
-		if !n.isAlone() {
-			request.Sleep(ctx, interval)
-			continue
-		}
-		addresses, err := n.store.Addresses(ctx)
+}
+
+// readAddresses adds the nodes in the store to the fleet table, retrying until that succeeds. It reports whether this node is one of
+// them.
+func (n *Node) readAddresses(ctx context.Context) bool {
+	for backoff := minBackoff; ctx.Err() == nil; {
+		endpoints, err := n.store.Addresses(ctx)
 		if err != nil {
 			n.log.Warn().Str("event", "addresses_unread").Err(err).Msg("cannot read the addresses of other nodes from the store; retrying")
 			n.backOff(ctx, &backoff)
 			continue
 		}
 		n.fleetMu.Lock()
-		n.fleet.AddEndpoints(n.now(), addresses)
+		n.fleet.AddEndpoints(n.now(), endpoints)
 		n.fleetMu.Unlock()
+		isRegistered := slices.Contains(endpoints, fleet.Endpoint{Address: n.settings.Address, Zone: n.settings.Zone})
 		n.hasPeerAddresses.Store(true)
-		n.log.Info().Str("event", "addresses").Int("nodes", len(addresses)).Msg("read the addresses of other nodes")
-		request.Sleep(ctx, interval)
-		interval = min(2*interval, maxAddressInterval)
+		n.log.Info().Str("event", "addresses").Int("nodes", len(endpoints)).Bool("registered", isRegistered).Msg("read the addresses of other nodes")
+		return isRegistered
 	}
-	return nil
+	return false
 }
 
-// isAlone reports whether this node has not read the addresses of other nodes yet, or hears of none.
+// isAlone reports whether this node hears of no other one.
 func (n *Node) isAlone() bool {
-	if !n.hasPeerAddresses.Load() {
-		return true
-	}
 	n.fleetMu.Lock()
 	defer n.fleetMu.Unlock()
 	return n.fleet.Snapshot(n.now()).LiveNodes() <= 1
