mesh: a late copy of a refusal is no proof that the next request has not run

The identifier of a response was compared, but not that of one that says not run (X-Not-Executed, 421): a late copy of an earlier refusal, read where the response to the next request is expected, was taken as proof that this request had not run. It was then sent to another server, or answered 503, although it ran. An unsafe request ran twice.

Change: a response with the identifier of another request is broken, whatever it says: the attempt may have run. Idle connections to the backend server are closed then, since the response that is due may still arrive on one of them. A refusal without an identifier (400 without an id) counts as before.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -295,8 +295,11 @@
 		b.setIdleTimeout(min(backendIdleTimeout, time.Duration(idleTimeoutShare*float64(info.IdleTimeout))))
 	}
 	switch {
-	case info.RequestID != "" && info.RequestID != a.id && !info.IsNotRun:
+	case info.RequestID != "" && info.RequestID != a.id:
+		// A late copy of an earlier response, be it a refusal, says nothing of this attempt. The response to this attempt may follow
+		// on the same connection, which is not to be used again.
 		_ = response.Body.Close()
+		b.transport.Load().CloseIdleConnections()
 		return broken{err: errors.New("response has the id of another request")}
 	case info.IsNotRun:
 		drainBody(response)
--- a/standin/application.go
+++ b/standin/application.go
@@ -18,15 +18,17 @@
 // The faults of an Application.
 const (
 	ApplicationHealthy    ApplicationFault = ""
-	ApplicationSheds      ApplicationFault = "sheds"     // refuses and says that it did not run the request
-	ApplicationFails      ApplicationFault = "fails"     // runs the request and answers 500
-	ApplicationTruncates  ApplicationFault = "cuts"      // runs the request and closes the connection in the middle of the response
-	ApplicationRepeats    ApplicationFault = "repeats"   // sends the response twice
-	ApplicationUnsigned   ApplicationFault = "unsigned"  // runs the request and omits the signature of the response
-	ApplicationMismatches ApplicationFault = "foreign"   // sends a response with the id of another request
-	ApplicationResets     ApplicationFault = "resets"    // runs the request and resets the connection
-	ApplicationUnframed   ApplicationFault = "unframed"  // delimits the response by closing the connection
-	ApplicationMisdirects ApplicationFault = "misplaced" // refuses with status 421, as if another incarnation was expected
+	ApplicationSheds      ApplicationFault = "sheds"    // refuses and says that it did not run the request
+	ApplicationFails      ApplicationFault = "fails"    // runs the request and answers 500
+	ApplicationTruncates  ApplicationFault = "cuts"     // runs the request and closes the connection in the middle of the response
+	ApplicationRepeats    ApplicationFault = "repeats"  // sends the response twice
+	ApplicationUnsigned   ApplicationFault = "unsigned" // runs the request and omits the signature of the response
+	ApplicationMismatches ApplicationFault = "foreign"  // sends a response with the id of another request
+	// ApplicationLateRefusal runs the request, but sends the refusal of another one in place of its response.
+	ApplicationLateRefusal ApplicationFault = "late refusal"
+	ApplicationResets      ApplicationFault = "resets"    // runs the request and resets the connection
+	ApplicationUnframed    ApplicationFault = "unframed"  // delimits the response by closing the connection
+	ApplicationMisdirects  ApplicationFault = "misplaced" // refuses with status 421, as if another incarnation was expected
 	// The following faults start a response and do not end it; the connection stays open until the caller closes it.
 	ApplicationEndlessHead    ApplicationFault = "endless head"    // a header field of EndlessBytes
 	ApplicationEndlessBytes   ApplicationFault = "endless bytes"   // EndlessBytes that are not an HTTP response
@@ -213,6 +215,10 @@
 		status = http.StatusInternalServerError
 	case ApplicationMismatches:
 		h.Set("X-Request-Id", "another")
+	case ApplicationLateRefusal:
+		h.Set("X-Request-Id", "another")
+		h.Set("X-Not-Executed", "1")
+		status, body = http.StatusServiceUnavailable, ""
 	case ApplicationTruncates, ApplicationRepeats, ApplicationResets, ApplicationUnframed,
 		ApplicationEndlessHead, ApplicationEndlessBytes, ApplicationEndlessBody, ApplicationEndlessRefusal:
 		a.writeFaulty(w, fault, id, body)
