--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -70,12 +70,31 @@
 	d.c.Check(left > 0 && left <= 5*time.Second, qt.IsTrue, qt.Commentf("left %v", left))
 }
 
+// sendAttempt sends an attempt to the gate of a machine as another node does, once the node listens, and returns the result that the
+// gate states.
+func (d *deployment) sendAttempt(m *machine, call string) string {
+	inbound := netip.AddrPortFrom(m.address, d.ports["inbound"]).String()
+	r, err := standin.NewApplicationRequest(context.Background(), inbound, "ledger.example", http.MethodGet, "/birds/1", "id", time.Second, nil, 0)
+	d.c.Assert(err, qt.IsNil)
+	r.Header.Set("Sapphiretack-Call", call)
+	result := ""
+	d.eventually("the node listens", func() bool {
+		response, err := http.DefaultTransport.RoundTrip(r)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		result = response.Header.Get("Sapphiretack-Result")
+		return true
+	})
+	return result
+}
+
 // TestReusedAddress guards against a request that runs at another service, because the address that its sender knows now belongs to a
 // machine of that service.
 func TestReusedAddress(t *testing.T) {
 	d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
 	b := d.start("transfers", "b", 0)
-	inbound := netip.AddrPortFrom(b.address, d.ports["inbound"]).String()
 	for _, attempt := range []struct {
 		call, result string
 	}{
@@ -83,23 +102,27 @@
 		{"1 0 -s /transfers", "answered"},
 		{"1 0 -s i-registry-1", "answered"}, // a node of an earlier version names the incarnation, and not the service
 	} {
-		r, err := standin.NewApplicationRequest(context.Background(), inbound, "ledger.example", http.MethodGet, "/birds/1", "id", time.Second, nil, 0)
-		d.c.Assert(err, qt.IsNil)
-		r.Header.Set("Sapphiretack-Call", attempt.call)
-		d.eventually("the node listens", func() bool {
-			response, err := http.DefaultTransport.RoundTrip(r)
-			if err != nil {
-				return false
-			}
-			_ = response.Body.Close()
-			result := response.Header.Get("Sapphiretack-Result")
-			d.c.Check(strings.HasPrefix(result, attempt.result), qt.IsTrue, qt.Commentf("%s: %s", attempt.call, result))
-			return true
-		})
+		result := d.sendAttempt(b, attempt.call)
+		d.c.Check(strings.HasPrefix(result, attempt.result), qt.IsTrue, qt.Commentf("%s: %s", attempt.call, result))
 	}
 	d.c.Check(b.application.Runs(), qt.HasLen, 2)
 }
 
+// TestGateOfLeavingServer guards against a gate that stays open for nodes that have not heard that its backend server is leaving.
+func TestGateOfLeavingServer(t *testing.T) {
+	d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+	m := d.start("registry", "a", 0)
+	const call = "1 0 -s /registry"
+	d.c.Check(strings.HasPrefix(d.sendAttempt(m, call), "answered"), qt.IsTrue)
+	report := m.report
+	report.State, report.Sequence = mesh.StateLeaving, 2
+	d.c.Assert(m.node.Report(report), qt.IsTrue)
+	d.eventually("the gate refuses", func() bool { return strings.HasPrefix(d.sendAttempt(m, call), "not_run leaving") })
+	runs := len(m.application.Runs())
+	_ = d.sendAttempt(m, call)
+	d.c.Check(m.application.Runs(), qt.HasLen, runs)
+}
+
 // TestNoRoute guards against a request without a matching route that is run, or that gets a status other than 404.
 func TestNoRoute(t *testing.T) {
 	d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
