--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -174,7 +174,7 @@
 }
 
 // liveZones returns the other zones from which a summary of any service has arrived lately. One of another service may be older:
-// messages carry the services of a zone in turns, and a zone that is cut off falls silent as a whole.
+// a message carries only some services of a zone, and a zone that is cut off falls silent as a whole.
 func (t *Table) liveZones(now request.Instant) map[request.ZoneID]bool {
 	newest := map[request.ZoneID]request.Instant{}
 	for key, h := range t.summaries {
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -192,7 +192,7 @@
 }
 
 // SetHealth sets the health of a node's backend server, as reported in a refusal, without waiting for its next entry. A node of
-// another zone without an entry is avoided until later summaries no longer name it.
+// another zone without an entry is avoided for SummaryMaxAge, within which a later summary leaves it out.
 func (t *Table) SetHealth(now request.Instant, a netip.Addr, h Health) {
 	m := t.members[a]
 	if m == nil || a == t.self {
@@ -205,8 +205,8 @@
 	}
 }
 
-// Messages returns the messages to send in one tick: entries of the zone to nodes of the zone, now and then the summaries of
-// other zones to one of them, and those of the local zone to a node of another one.
+// Messages returns the messages to send in one tick: entries of the zone to nodes of the zone, summaries of other zones to
+// one of them, and at each CrossZoneInterval those of the local zone to a node of another one.
 func (t *Table) Messages(now request.Instant) []Message {
 	var local, remote []*member
 	for a, m := range t.members {
--- a/mesh/costs.go
+++ b/mesh/costs.go
@@ -61,9 +61,8 @@
 	return map[routing.RouteID]tree.Cost{}
 }
 
-// isCostWriter reports whether this node writes costs, which is the task of the one with the lowest
-// address in the first zone. While nodes
-// disagree on which one that is, several write and the last write wins.
+// isCostWriter reports whether this node writes costs, which is the task of the one with the lowest address in the first zone.
+// While nodes disagree on which one that is, several write and the last write wins.
 func (n *Node) isCostWriter() bool {
 	n.fleetMu.Lock()
 	view := n.fleet.Snapshot(n.now())
