budget, mesh: retries that are not used expire after the retry window

Callers saw nothing in calm; at the first failure after minutes without one, a service got repeats far beyond the users' fifth of its requests. Cause: a node keeps up to 1,100 successes, which allow 44 retries, however long ago they were. The class of fault is an allowance that outlives the traffic that earned it. Evidence: budget.TestSavedRetriesExpire, 12 nodes after ten minutes of calm at 48 requests a second: 540 retries within a window of 481 requests, where 144 are allowed. Now a success allows retries for one retry window (10 s) after it was recorded, in four parts: 26 retries in the same test. The product's own path keeps successes as before, because its limit is for each source.

Ruled out: the rate at which retries are earned. budget.TestRetriesOfWindow, with every second request failing and all retries that the limit permits, stays within the bound before and after.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -180,3 +180,79 @@
 	}
 	c.Check(r.Remaining(request.Instant(time.Second), "racedesk"), qt.Equals, uint32(1))
 }
+
+// TestSavedRetriesExpire guards against retries that are saved up in minutes without failures and sent within seconds when a service fails:
+// the users allow a service a fifth of the requests of a window and a few more as retries, from all nodes together.
+func TestSavedRetriesExpire(t *testing.T) {
+	const (
+		nodes     = 12
+		window    = 10 * time.Second
+		calm      = 10 * time.Minute
+		perSecond = 48 // requests to the service, from all nodes
+		ratio     = 0.2
+		slack     = 48
+	)
+	var limiters []*budget.Limiter
+	for range nodes {
+		limiters = append(limiters, budget.NewLimiter(budget.LimiterSettings{
+			SuccessesPerRetry: 25, MinRetries: 1, RefillInterval: window, SuccessWindow: window,
+		}))
+	}
+	now := request.Instant(0)
+	step := time.Second / perSecond
+	for i := 0; time.Duration(now) < calm; i++ {
+		limiters[i%nodes].RecordSuccess(now, "racedesk")
+		now = now.Add(step)
+	}
+	retries, requests := 0, 0
+	for end := now.Add(window); now < end; now = now.Add(step) {
+		if limiters[requests%nodes].Allow(now, "racedesk") {
+			retries++
+		}
+		requests++
+	}
+	for _, l := range limiters {
+		for l.Allow(now, "racedesk") {
+			retries++
+		}
+	}
+	qt.Assert(t, float64(retries) <= ratio*float64(requests)+slack, qt.IsTrue, qt.Commentf("%d retries of %d requests", retries, requests))
+}
+
+// TestRetriesOfWindow guards against a window in which all nodes together send more retries than the users allow, when every second
+// request fails and is retried as often as the limit permits.
+func TestRetriesOfWindow(t *testing.T) {
+	const (
+		nodes     = 12
+		window    = 10 * time.Second
+		perSecond = 480
+		ratio     = 0.2
+		slack     = 48
+	)
+	var limiters []*budget.Limiter
+	for range nodes {
+		limiters = append(limiters, budget.NewLimiter(budget.LimiterSettings{
+			SuccessesPerRetry: 25, MinRetries: 1, RefillInterval: window, SuccessWindow: window,
+		}))
+	}
+	retries := map[int]int{} // by tenths of a second
+	step := time.Second / perSecond
+	for i := range 60 * perSecond {
+		now := request.Instant(0).Add(time.Duration(i) * step)
+		l := limiters[i%nodes]
+		isCalm := now.Sub(0) < 20*time.Second
+		if isCalm || i/nodes%2 == 0 {
+			l.RecordSuccess(now, "racedesk")
+		}
+		for !isCalm && l.Allow(now, "racedesk") {
+			retries[int(now.Sub(0)/(window/100))]++
+		}
+	}
+	for begin := range 500 {
+		sum := 0
+		for part := range 100 {
+			sum += retries[begin+part]
+		}
+		qt.Assert(t, float64(sum) <= ratio*perSecond*window.Seconds()+slack, qt.IsTrue, qt.Commentf("%d retries from %d", sum, begin))
+	}
+}
--- a/budget/limiter.go
+++ b/budget/limiter.go
@@ -12,6 +12,8 @@
 	defaultSuccessesPerRetry = 10
 	// The in-flight requests of one lost backend server (about 110 slots) can all be retried immediately.
 	maxSuccesses = 110 * defaultSuccessesPerRetry
+	// successParts is the number of parts into which SuccessWindow is divided.
+	successParts = 4
 	// A service without successes is allowed one retry per second, with a burst of three.
 	defaultRefillInterval = time.Second
 	defaultMinRetries     = 3
@@ -25,6 +27,9 @@
 	// RefillInterval.
 	MinRetries     uint32
 	RefillInterval time.Duration
+	// SuccessWindow is the time after which a success no longer allows retries; 0 means that it does not expire. Without it, a source
+	// saves retries up during hours without failures and spends them all within seconds.
+	SuccessWindow time.Duration
 }
 
 func (s LimiterSettings) withDefaults() LimiterSettings {
@@ -56,7 +61,9 @@
 // allowance tracks the retries available to one service: those earned by the successes not yet spent, and the tokens of a token
 // bucket for retries without successes.
 type allowance struct {
-	successes uint32
+	// successes are those not yet spent, by the part of SuccessWindow in which they were recorded, the latest part first.
+	successes [successParts]uint32
+	partStart request.Instant // of the latest part
 	tokens    uint32
 	refilled  request.Instant
 }
@@ -64,15 +71,16 @@
 // RecordSuccess records a successful call to the service.
 func (l *Limiter) RecordSuccess(now request.Instant, service request.ServiceID) {
 	a := l.service(now, service)
-	a.successes = min(a.successes+1, maxSuccesses)
+	if a.unspent() < maxSuccesses {
+		a.successes[0]++
+	}
 }
 
 // Allow takes one retry from the allowance of the service and reports whether one was available.
 func (l *Limiter) Allow(now request.Instant, service request.ServiceID) bool {
 	a := l.service(now, service)
 	settings := l.settings.withDefaults()
-	if a.successes >= settings.SuccessesPerRetry {
-		a.successes -= settings.SuccessesPerRetry
+	if a.spend(settings.SuccessesPerRetry) {
 		return true
 	}
 	a.refill(now, settings)
@@ -88,21 +96,62 @@
 	a := l.service(now, service)
 	settings := l.settings.withDefaults()
 	a.refill(now, settings)
-	return a.successes/settings.SuccessesPerRetry + a.tokens
+	return a.unspent()/settings.SuccessesPerRetry + a.tokens
 }
 
 func (l *Limiter) service(now request.Instant, service request.ServiceID) *allowance {
 	if a := l.services[service]; a != nil {
+		a.expire(now, l.settings.SuccessWindow)
 		return a
 	}
 	if l.services == nil {
 		l.services = make(map[request.ServiceID]*allowance)
 	}
-	a := &allowance{tokens: l.settings.withDefaults().MinRetries, refilled: now}
+	a := &allowance{tokens: l.settings.withDefaults().MinRetries, refilled: now, partStart: now}
 	l.services[service] = a
 	return a
 }
 
+// expire removes the successes that are older than the window.
+func (a *allowance) expire(now request.Instant, window time.Duration) {
+	length := window / successParts
+	if length <= 0 {
+		return
+	}
+	n := now.Sub(a.partStart) / length
+	if n <= 0 {
+		return
+	}
+	a.partStart = a.partStart.Add(n * length)
+	kept := a.successes
+	a.successes = [successParts]uint32{}
+	if n < successParts {
+		copy(a.successes[n:], kept[:])
+	}
+}
+
+// unspent returns the number of successes that can be spent.
+func (a *allowance) unspent() uint32 {
+	sum := uint32(0)
+	for _, n := range a.successes {
+		sum += n
+	}
+	return sum
+}
+
+// spend takes the given number of successes, the oldest first, and reports whether there were that many.
+func (a *allowance) spend(count uint32) bool {
+	if a.unspent() < count {
+		return false
+	}
+	for i := successParts - 1; count > 0; i-- {
+		taken := min(count, a.successes[i])
+		a.successes[i] -= taken
+		count -= taken
+	}
+	return true
+}
+
 func (a *allowance) refill(now request.Instant, s LimiterSettings) {
 	n := now.Sub(a.refilled) / s.RefillInterval
 	if n <= 0 {
