--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sapphiretack/sapphiretack/routing"
 	"github.com/sapphiretack/sapphiretack/standin"
@@ -247,3 +248,83 @@
 	after.c.Check(after.get(after.machines[0], crashPath, "again").status, qt.Equals, http.StatusServiceUnavailable)
 	after.c.Check(after.crashRuns(), qt.Equals, 0)
 }
+
+// TestSimultaneousCrashes guards against a request that comes to all nodes at once, before any has heard of a crash, and still runs when it
+// comes to all of them again.
+func TestSimultaneousCrashes(t *testing.T) {
+	d := newCrashDeployment(t)
+	sendToAll := func(round string) {
+		var sends errgroup.Group
+		for i, m := range d.machines {
+			sends.Go(func() error { d.get(m, crashPath, fmt.Sprint(round, i)); return nil })
+		}
+		d.c.Assert(sends.Wait(), qt.IsNil)
+	}
+	sendToAll("first")
+	d.waitForRestarts()
+	d.waitForQuarantine()
+	before := d.crashRuns()
+	sendToAll("second")
+	d.c.Check(d.crashRuns(), qt.Equals, before)
+}
+
+// TestCrashesInZonesCutOff guards against two zones that do not hear of each other and each send a request to servers that crash under it
+// more often than the users allow in both together.
+func TestCrashesInZonesCutOff(t *testing.T) {
+	configuration := ledgerConfiguration(1, birdsRoute())
+	sides := []*deployment{newSerialDeployment(t, configuration), newSerialDeployment(t, configuration)}
+	for i, d := range sides {
+		d.crashes = func(r standin.ApplicationRun) bool { return r.Target == crashPath }
+		d.restartAfter = 150 * time.Millisecond
+		for range 2 {
+			d.start("registry", string(rune('a'+i)), time.Millisecond)
+		}
+		d.waitUntilServing("/birds/1")
+	}
+	runs := 0
+	for round := range 3 {
+		for _, d := range sides {
+			for i, m := range d.machines {
+				d.get(m, crashPath, fmt.Sprintf("crash%d.%d", round, i))
+				d.waitForRestarts()
+			}
+		}
+	}
+	for _, d := range sides {
+		runs += d.crashRuns()
+	}
+	qt.Check(t, runs <= maxCrashRuns, qt.IsTrue, qt.Commentf("%d backend servers ran it", runs))
+}
+
+// TestCrashingParent guards against the quarantine of a call that was in flight when the request that made it crashed its backend server,
+// and against a parent that is not recognized because its call failed.
+func TestCrashingParent(t *testing.T) {
+	d := newDeployment(t, ledgerConfiguration(1, birdsRoute(), routing.Route{Name: "tree", Prefix: "/call/", Services: toService("transfers"), IsIdempotent: true}))
+	d.logOnFailure(t)
+	const crashing = "/call/ledger.example/birds/1"
+	d.crashes = func(r standin.ApplicationRun) bool { return r.Target == crashing }
+	d.restartAfter = 150 * time.Millisecond
+	for _, zone := range []string{"a", "b"} {
+		d.start("registry", zone, time.Millisecond)
+		d.start("transfers", zone, time.Millisecond)
+	}
+	d.waitUntilServing("/birds/1")
+	for i := range 8 {
+		d.get(d.machines[i%4], crashing, fmt.Sprintf("crash%d", i))
+		for _, m := range d.machines {
+			d.eventually("the backend server is back", func() bool { return !m.isDown() })
+		}
+	}
+	runs := 0
+	for _, m := range d.machines {
+		for _, r := range m.runs() {
+			if r.Target == crashing {
+				runs++
+			}
+		}
+	}
+	d.c.Check(runs <= maxCrashRuns, qt.IsTrue, qt.Commentf("%d backend servers ran it", runs))
+	for i, m := range d.machines {
+		d.c.Check(d.get(m, "/birds/1", fmt.Sprintf("call%d", i)).status, qt.Equals, http.StatusOK)
+	}
+}
