quarantine, mesh: a request given up on a silent server may have crashed it

Callers of other requests lost one server after another to a request that makes its server go silent and whose client gives up first: mesh.TestGivenUpOnSilentServer, 12 sends, 12 servers ended, none refused (at most 6 are allowed); now it passes. Cause: an attempt whose caller gave up counted as not run, so nothing was in flight when the next incarnation proved the crash. The class of fault is evidence that is dropped because the one who waited for it has left.

Such an attempt now counts as in flight at a crash of the next 10 s, unless the server responds to a later attempt in between. An accepted connection does not disprove it, since a silent server may still accept some.

--- a/mesh/crash.go
+++ b/mesh/crash.go
@@ -46,7 +46,7 @@
 	case isLate || errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return quarantine.TimedOut
 	case ctx.Err() != nil:
-		return quarantine.Abandoned
+		return quarantine.GivenUp
 	}
 	return quarantine.Disconnected
 }
@@ -59,7 +59,7 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return quarantine.TimedOut
 	case ctx.Err() != nil || errors.Is(err, errBodyClosed):
-		return quarantine.Abandoned
+		return quarantine.GivenUp
 	}
 	return quarantine.Truncated
 }
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -163,7 +163,9 @@
 	// crashesWithin, if set, reports whether a request crashes the backend server in the middle of its response, which has responseLength bytes.
 	crashesWithin  func(id string) bool
 	responseLength int
-	// restartAfter is how long a backend server is down after a crash.
+	// silences reports whether a request makes the backend server that begins to run it stop responding, without an end of its connections.
+	silences func(standin.ApplicationRun) bool
+	// restartAfter is how long a backend server is down after a crash, or silent.
 	restartAfter time.Duration
 }
 
@@ -287,6 +289,19 @@
 			return true
 		}
 	}
+	if d.silences != nil {
+		settings.Crash = func(r standin.ApplicationRun) bool {
+			if !d.silences(r) {
+				return false
+			}
+			m.mu.Lock()
+			m.isCrashed = true
+			m.mu.Unlock()
+			time.Sleep(d.restartAfter)
+			d.crash(m, service, work)
+			return true
+		}
+	}
 	m.application = standin.NewApplication(settings)
 	m.application.SetOutbound(addressOf("outbound"))
 	if d.crashesWithin != nil {
@@ -401,6 +416,20 @@
 	return d.send(m, http.MethodGet, "ledger.example", path, id, 5*time.Second, nil)
 }
 
+// abandon sends an idempotent request whose client gives up after a time.
+func (d *deployment) abandon(m *machine, path, id string, after time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), after)
+	defer cancel()
+	outbound := netip.AddrPortFrom(m.address, d.ports["outbound"]).String()
+	r, err := standin.NewApplicationRequest(ctx, outbound, "ledger.example", http.MethodGet, path, id, 5*time.Second, nil, 0)
+	d.c.Assert(err, qt.IsNil)
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	response, err := client.Do(r)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+}
+
 // waitUntilServing waits until all nodes know each other and serve requests for the path.
 func (d *deployment) waitUntilServing(path string) {
 	for i, m := range d.machines {
--- a/mesh/quarantine_test.go
+++ b/mesh/quarantine_test.go
@@ -352,3 +352,20 @@
 		d.c.Check(d.get(m, "/call/ledger.example/birds/1", fmt.Sprintf("other%d", i)).status, qt.Equals, http.StatusOK)
 	}
 }
+
+// TestGivenUpOnSilentServer guards against a request that makes one backend server after another go silent and is not recognized because its
+// client gives up before its server is replaced.
+func TestGivenUpOnSilentServer(t *testing.T) {
+	d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+	d.logOnFailure(t)
+	d.silences = func(r standin.ApplicationRun) bool { return r.Target == crashPath }
+	d.startServers()
+	for round := range 3 {
+		for i, m := range d.machines {
+			d.abandon(m, crashPath, fmt.Sprintf("crash%d.%d", round, i), 50*time.Millisecond)
+			d.waitForRestarts()
+		}
+	}
+	d.checkCrashRuns()
+	d.c.Check(d.get(d.machines[0], "/birds/1", "other").status, qt.Equals, http.StatusOK)
+}
--- a/quarantine/detector.go
+++ b/quarantine/detector.go
@@ -20,7 +20,9 @@
 	Truncated
 	// TimedOut means that there was no whole response in time.
 	TimedOut
-	// Abandoned means that the caller gave up, or that the attempt was not sent or did not run.
+	// GivenUp means that the caller gave up while the backend server may have been running the attempt.
+	GivenUp
+	// Abandoned means that the attempt was not sent or did not run.
 	Abandoned
 )
 
@@ -51,7 +53,8 @@
 // A connection that ends without a response does not prove a crash. The driver then tries to connect to the backend server: if nothing
 // accepts connections there, the process has ended. If the backend server goes silent instead, only the first report of its next
 // incarnation proves the crash. Truncated responses are not checked, because a faulty backend server may send many of them: a later attempt
-// that is refused a connection, or the next incarnation, proves the crash, and a response to a later attempt disproves it.
+// that is refused a connection, or the next incarnation, proves the crash, and a response to a later attempt disproves it. The same holds
+// for attempts whose caller gave up; a connection disproves nothing of them, since a silent backend server may still accept some.
 type Detector struct {
 	running map[uint64]runningAttempt
 	lost    []lostAttempt
@@ -74,7 +77,7 @@
 	delete(d.running, number)
 	switch end {
 	case Responded:
-		d.forgetConnections(attempt.began)
+		d.forget(attempt.began, Disconnected, Truncated, GivenUp)
 		return false
 	case Abandoned:
 		return false
@@ -89,11 +92,11 @@
 
 // Alive records that a backend server that was checked at the given time accepted a connection, so that the attempts
 // disconnected before did not crash it.
-func (d *Detector) Alive(checked request.Instant) { d.forgetConnections(checked) }
+func (d *Detector) Alive(checked request.Instant) { d.forget(checked, Disconnected, Truncated) }
 
-// forgetConnections forgets the attempts whose connections ended by the given time, at which the backend server was alive.
-func (d *Detector) forgetConnections(alive request.Instant) {
-	d.lost = slices.DeleteFunc(d.lost, func(l lostAttempt) bool { return l.end != TimedOut && l.at <= alive })
+// forget forgets the attempts that had one of the given ends by the given time, at which the backend server was alive.
+func (d *Detector) forget(alive request.Instant, ends ...End) {
+	d.lost = slices.DeleteFunc(d.lost, func(l lostAttempt) bool { return slices.Contains(ends, l.end) && l.at <= alive })
 }
 
 // Crashed records a crash and returns the fingerprints of the requests that it may be due to: of the attempts in flight and
--- a/quarantine/detector_test.go
+++ b/quarantine/detector_test.go
@@ -15,7 +15,7 @@
 // TestDetector guards against a lost connection that is taken for a crash, and against a crash for which the wrong requests are blamed.
 func TestDetector(t *testing.T) {
 	ends := map[string]quarantine.End{
-		"responded": quarantine.Responded, "disconnected": quarantine.Disconnected, "truncated": quarantine.Truncated, "timed_out": quarantine.TimedOut, "abandoned": quarantine.Abandoned,
+		"responded": quarantine.Responded, "disconnected": quarantine.Disconnected, "truncated": quarantine.Truncated, "timed_out": quarantine.TimedOut, "given_up": quarantine.GivenUp, "abandoned": quarantine.Abandoned,
 	}
 	datadriven.Walk(t, "testdata/detector", func(t *testing.T, path string) {
 		detector := quarantine.NewDetector()
