budget, mesh: the calls of a repeated run are charged to the retries of the service that they reach

A service deep in a call tree got the retries of all levels above it on top of its own: the users count each call of a run that is itself a repeat as a repeat. Cause: a retry was charged at the service of the request only. A charge that no success has paid for yet is a debt of the same window.

On the users' deployments trees are two levels deep, so that this was what they saw is unlikely.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -1,6 +1,7 @@
 package budget_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -256,3 +257,49 @@
 		qt.Assert(t, float64(sum) <= ratio*perSecond*window.Seconds()+slack, qt.IsTrue, qt.Commentf("%d retries from %d", sum, begin))
 	}
 }
+
+// TestRepeatsOfCallTree guards against a service deep in a call tree that gets the repeats of all levels above it on top of its own: the calls
+// of a run that is itself a repeat count as repeats at the service that they reach.
+func TestRepeatsOfCallTree(t *testing.T) {
+	const (
+		levels    = 22
+		window    = 10 * time.Second
+		perSecond = 480 // requests to each level
+		ratio     = 0.2
+		slack     = 48
+	)
+	limiter := budget.NewLimiter(budget.LimiterSettings{
+		SuccessesPerRetry: 25, MinRetries: 1, RefillInterval: window, SuccessWindow: window,
+	})
+	service := func(level int) request.ServiceID { return request.ServiceID(fmt.Sprint("level", level)) }
+	repeats := map[int][levels]int{} // by seconds
+	step := time.Second / perSecond
+	for i := range 40 * perSecond {
+		now := request.Instant(0).Add(time.Duration(i) * step)
+		for level := range levels {
+			limiter.RecordSuccess(now, service(level))
+			if now.Sub(0) < 2*window || !limiter.Allow(now, service(level)) {
+				continue
+			}
+			second := int(now.Sub(0) / time.Second)
+			sums := repeats[second]
+			sums[level]++
+			for below := level + 1; below < levels; below++ {
+				limiter.Charge(now, service(below))
+				sums[below]++
+			}
+			repeats[second] = sums
+		}
+	}
+	for begin := range 30 {
+		var sums [levels]int
+		for second := begin; second < begin+10; second++ {
+			for level, n := range repeats[second] {
+				sums[level] += n
+			}
+		}
+		for level, n := range sums {
+			qt.Assert(t, float64(n) <= ratio*perSecond*window.Seconds()+slack, qt.IsTrue, qt.Commentf("%d repeats at level %d from %d s", n, level, begin))
+		}
+	}
+}
--- a/budget/limiter.go
+++ b/budget/limiter.go
@@ -61,17 +61,51 @@
 // allowance tracks the retries available to one service: those earned by the successes not yet spent, and the tokens of a token
 // bucket for retries without successes.
 type allowance struct {
-	// successes are those not yet spent, by the part of SuccessWindow in which they were recorded, the latest part first.
-	successes [successParts]uint32
-	partStart request.Instant // of the latest part
+	successes windowed // not yet spent
+	debts     windowed // charged retries that no success has paid for
+	partStart request.Instant
 	tokens    uint32
 	refilled  request.Instant
 }
 
+// windowed counts events by the part of SuccessWindow in which they were recorded, the latest part first.
+type windowed [successParts]uint32
+
+// sum returns the number of events.
+func (w *windowed) sum() uint32 {
+	sum := uint32(0)
+	for _, n := range w {
+		sum += n
+	}
+	return sum
+}
+
+// take removes the given number of events, the oldest first, and reports whether there were that many.
+func (w *windowed) take(count uint32) bool {
+	if w.sum() < count {
+		return false
+	}
+	for i := successParts - 1; count > 0; i-- {
+		taken := min(count, w[i])
+		w[i] -= taken
+		count -= taken
+	}
+	return true
+}
+
+// expire removes the events of all but the latest parts, after the given number of new parts has begun.
+func (w *windowed) expire(parts int64) {
+	kept := *w
+	*w = windowed{}
+	if parts < successParts {
+		copy(w[parts:], kept[:])
+	}
+}
+
 // RecordSuccess records a successful call to the service.
 func (l *Limiter) RecordSuccess(now request.Instant, service request.ServiceID) {
 	a := l.service(now, service)
-	if a.unspent() < maxSuccesses {
+	if a.successes.sum() < maxSuccesses {
 		a.successes[0]++
 	}
 }
@@ -80,7 +114,7 @@
 func (l *Limiter) Allow(now request.Instant, service request.ServiceID) bool {
 	a := l.service(now, service)
 	settings := l.settings.withDefaults()
-	if a.spend(settings.SuccessesPerRetry) {
+	if a.takeEarned(settings) {
 		return true
 	}
 	a.refill(now, settings)
@@ -91,12 +125,22 @@
 	return true
 }
 
+// Charge takes one retry from the allowance of the service for a call that is repeated because the request that makes it is. If none
+// was earned, the next one that is earned within SuccessWindow pays for it.
+func (l *Limiter) Charge(now request.Instant, service request.ServiceID) {
+	a := l.service(now, service)
+	if !a.takeEarned(l.settings.withDefaults()) && a.debts.sum() < maxSuccesses {
+		a.debts[0]++
+	}
+}
+
 // Remaining returns the number of retries available to the service.
 func (l *Limiter) Remaining(now request.Instant, service request.ServiceID) uint32 {
 	a := l.service(now, service)
 	settings := l.settings.withDefaults()
 	a.refill(now, settings)
-	return a.unspent()/settings.SuccessesPerRetry + a.tokens
+	earned := a.successes.sum() / settings.SuccessesPerRetry
+	return earned - min(earned, a.debts.sum()) + a.tokens
 }
 
 func (l *Limiter) service(now request.Instant, service request.ServiceID) *allowance {
@@ -112,7 +156,7 @@
 	return a
 }
 
-// expire removes the successes that are older than the window.
+// expire removes the successes and debts that are older than the window.
 func (a *allowance) expire(now request.Instant, window time.Duration) {
 	length := window / successParts
 	if length <= 0 {
@@ -123,33 +167,19 @@
 		return
 	}
 	a.partStart = a.partStart.Add(n * length)
-	kept := a.successes
-	a.successes = [successParts]uint32{}
-	if n < successParts {
-		copy(a.successes[n:], kept[:])
-	}
+	a.successes.expire(int64(n))
+	a.debts.expire(int64(n))
 }
 
-// unspent returns the number of successes that can be spent.
-func (a *allowance) unspent() uint32 {
-	sum := uint32(0)
-	for _, n := range a.successes {
-		sum += n
+// takeEarned pays the debts and then takes one retry, as far as the successes suffice, and reports whether it took one.
+func (a *allowance) takeEarned(s LimiterSettings) bool {
+	for a.debts.sum() > 0 {
+		if !a.successes.take(s.SuccessesPerRetry) {
+			return false
+		}
+		a.debts.take(1)
 	}
-	return sum
-}
-
-// spend takes the given number of successes, the oldest first, and reports whether there were that many.
-func (a *allowance) spend(count uint32) bool {
-	if a.unspent() < count {
-		return false
-	}
-	for i := successParts - 1; count > 0; i-- {
-		taken := min(count, a.successes[i])
-		a.successes[i] -= taken
-		count -= taken
-	}
-	return true
+	return a.successes.take(s.SuccessesPerRetry)
 }
 
 func (a *allowance) refill(now request.Instant, s LimiterSettings) {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -35,7 +35,7 @@
 
 const (
 	// successesPerRetry is the number of successful requests that earn one retry. A deployment allows one retry per five
-	// requests at each service, and a call tree of depth five accumulates the retries of all its levels.
+	// requests at each service; up to two windows of earned retries can meet in one window.
 	successesPerRetry = 25
 	// headerTimeout bounds reading the request headers of other nodes and of control, readiness and metrics calls.
 	headerTimeout = 2 * time.Second
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -147,6 +147,9 @@
 
 // runAttempts sends the request to one instance after another until one responds or no further attempt is allowed.
 func (n *Node) runAttempts(ctx context.Context, req *outboundRequest) *ingress.Response {
+	if req.isRetry {
+		n.chargeRepeat(req.service)
+	}
 	for {
 		state, remaining := n.quarantineState(req.content)
 		if state == quarantine.Quarantined {
@@ -298,6 +301,13 @@
 	return ok
 }
 
+// chargeRepeat charges the retry budget of a service for a call of a run that is itself a repeat.
+func (n *Node) chargeRepeat(s request.ServiceID) {
+	n.retryBudgetMu.Lock()
+	defer n.retryBudgetMu.Unlock()
+	n.retryBudget.Charge(n.now(), s)
+}
+
 // discardErrorResponse discards the saved error response of an earlier attempt.
 func (n *Node) discardErrorResponse(req *outboundRequest) {
 	if req.errorResponse != nil {
