mesh: log fields and metrics that tell the bounds on repeats apart

Three bounds share the name BUDGET. No log line had the client's time budget, the attempts that the route allows or whether the request was a repeat, and no metric counted arrivals and repeats for each service, so that an engineer could not tell afterwards which bound was broken. Test: mesh.TestRepeatsAreCounted.

--- a/mesh/log.go
+++ b/mesh/log.go
@@ -20,7 +20,8 @@
 		return e
 	}
 	return e.Str("route", req.route.Name).Str("to", string(req.service)).Uint8("rank", uint8(req.rank)).Bool("call", req.isCall).
-		Dur("elapsed", n.now().Sub(req.arrived)).Dur("left", req.deadline.Sub(n.now())).
+		Dur("elapsed", n.now().Sub(req.arrived)).Dur("left", req.deadline.Sub(n.now())).Dur("given", req.timeout).
+		Bool("repeat", req.isRetry).Int("max_attempts", req.route.MaxAttempts).
 		Int64("config_version", int64(n.configuration.Version()))
 }
 
@@ -73,7 +74,8 @@
 
 // logGate logs an attempt at the local gate that did not end with a response from the backend server.
 func (n *Node) logGate(a attempt, o outcome, took time.Duration) {
-	e := n.log.Info().Str("event", "gate").Str("request_id", a.id).Stringer("content", a.content).Uint8("rank", uint8(a.rank)).Bool("call", a.isCall).Dur("took", took)
+	e := n.log.Info().Str("event", "gate").Str("request_id", a.id).Stringer("content", a.content).Uint8("rank", uint8(a.rank)).Bool("call", a.isCall).
+		Bool("repeat", a.isRetry).Dur("took", took).Dur("left", a.deadline.Sub(n.now()))
 	switch o := o.(type) {
 	case notRun:
 		e.Str("result", "not_run").Str("why", o.reason.String()).Dur("wait", o.wait).Bool("arrived", o.isBackendRefusal).Msg("attempt did not run")
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -185,6 +185,38 @@
 	}
 }
 
+// TestRepeatsAreCounted guards against repeats at a service that neither the metrics nor the log lines of their requests show.
+func TestRepeatsAreCounted(t *testing.T) {
+	d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+	lines := &lineWriter{event: "answered"}
+	d.log = zerolog.New(lines)
+	a := d.start("registry", "a", 0)
+	d.start("registry", "b", 0)
+	d.waitUntilServing("/birds/1")
+	before := d.metrics(a)
+	d.c.Check(before, qt.Not(qt.Contains), "repeats.registry")
+	a.application.SetFault(standin.ApplicationResets)
+	d.c.Assert(d.get(a, "/birds/1", "repeated").status, qt.Equals, http.StatusOK)
+	d.c.Check(d.metrics(a), qt.Contains, "repeats.registry 1\n")
+	lines.mu.Lock()
+	defer lines.mu.Unlock()
+	d.c.Assert(lines.lines, qt.Not(qt.HasLen), 0)
+	var l struct {
+		RequestID   string `json:"request_id"`
+		Repeat      bool
+		Arrivals    int
+		MaxAttempts int     `json:"max_attempts"`
+		Given, Left float64 // ms
+	}
+	d.c.Assert(json.Unmarshal(lines.lines[len(lines.lines)-1], &l), qt.IsNil)
+	d.c.Check(l.RequestID, qt.Equals, "repeated")
+	d.c.Check(l.Repeat, qt.IsTrue)
+	d.c.Check(l.Arrivals, qt.Equals, 1)
+	d.c.Check(l.MaxAttempts, qt.Equals, 2)
+	d.c.Check(l.Given, qt.Equals, 5000.0)
+	d.c.Check(l.Left > 0 && l.Left < l.Given, qt.IsTrue)
+}
+
 // TestDuplicateResponse guards against a duplicate response of a backend server that is used as the response to the next
 // request.
 func TestDuplicateResponse(t *testing.T) {
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -23,6 +23,7 @@
 	running, limit, load, version, health gometrics.Gauge
 	known, fresh, oldest, retriesLeft     gometrics.Gauge
 	quarantined                           gometrics.Gauge
+	withoutDeadline                       gometrics.Counter
 }
 
 func newMetrics() *metrics {
@@ -38,7 +39,7 @@
 		running:   gauge("gate_active"), limit: gauge("gate_limit"), load: gauge("gate_load_thousandths"),
 		version: gauge("config_version"), health: gauge("backend_health"), known: gauge("nodes_known"), fresh: gauge("nodes_fresh"),
 		oldest: gauge("oldest_entry_ms"), retriesLeft: gauge("retries_left"),
-		quarantined: gauge("quarantined"),
+		quarantined: gauge("quarantined"), withoutDeadline: counter("requests_without_deadline"),
 	}
 }
 
@@ -65,6 +66,15 @@
 	gometrics.GetOrRegisterTimer(prefix+"time", m.registry).Update(now.Sub(req.arrived))
 }
 
+// countArrival counts an attempt that reached, or may have reached, a backend server of a service. Attempts beyond the first one of a
+// request, and those of calls that a repeated run makes, also count as repeats.
+func (m *metrics) countArrival(req *outboundRequest) {
+	gometrics.GetOrRegisterCounter("arrivals."+string(req.service), m.registry).Inc(1)
+	if req.isRetry || req.backendAttempts > 0 {
+		gometrics.GetOrRegisterCounter("repeats."+string(req.service), m.registry).Inc(1)
+	}
+}
+
 // updateGauges updates the gauges after a tick; retriesLeft is the retry budget of the local service.
 func (m *metrics) updateGauges(e fleet.Entry, load float64, view fleetView, retriesLeft uint32) {
 	m.oldest.Update(view.oldest.Milliseconds())
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -102,6 +102,7 @@
 	timeout := info.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
+		n.metrics.withoutDeadline.Inc(1)
 	}
 	req := &outboundRequest{
 		attempt: attempt{
@@ -167,6 +168,7 @@
 		began := n.now()
 		switch o := n.send(ctx, req.attempt, t).(type) {
 		case responded:
+			n.metrics.countArrival(req)
 			n.noteDeparture(t, o)
 			if n.mayRetryFailure(req, o) {
 				req.errorResponse = &o
@@ -191,6 +193,7 @@
 			}
 		case broken:
 			n.logAttempt(req, t, "broken", o.err.Error(), began)
+			n.metrics.countArrival(req)
 			req.backendAttempts++
 			req.mayHaveRun = true
 			n.mergeCrashes(o.crashes)
@@ -211,6 +214,7 @@
 // recordRefusal updates the fleet table with what a refusal reveals about the instance, ahead of gossip.
 func (n *Node) recordRefusal(req *outboundRequest, t placement.Target, o notRun) {
 	if o.isBackendRefusal {
+		n.metrics.countArrival(req)
 		req.backendAttempts++
 	}
 	var health fleet.Health
