platform, mesh: crashes of a request are added to those in the store

Two sides of a partition that both reach the store wrote the crashes of a request over each other's, and learned nothing of them: after a restart of all nodes only the last writer's crashes were known, and on each side the quarantine grew from its own crashes only. The class of fault is a lost update: a row that several nodes write was written without a condition.

--- a/mesh/crash.go
+++ b/mesh/crash.go
@@ -304,13 +304,13 @@
 	}
 }
 
-// writeCrashes writes the crashes of the requests in n.unstored.
+// writeCrashes writes the crashes of the requests in n.unstored, and learns what nodes wrote that this one cannot hear.
 func (n *Node) writeCrashes(ctx context.Context) error {
 	n.crashMu.Lock()
 	contents := slices.Sorted(maps.Keys(n.unstored))
 	n.crashMu.Unlock()
 	for _, f := range contents {
-		if err := n.store.WriteCrashes(ctx, f, n.crashesAbout(f)); err != nil {
+		if err := n.writeCrashesAbout(ctx, f); err != nil {
 			return err
 		}
 		n.crashMu.Lock()
@@ -320,6 +320,16 @@
 	return nil
 }
 
+func (n *Node) writeCrashesAbout(ctx context.Context, f request.Fingerprint) error {
+	crashes := n.crashesAbout(f)
+	if len(crashes) == 0 {
+		return n.store.RemoveCrashes(ctx, f)
+	}
+	stored, err := n.store.AddCrashes(ctx, f, crashes)
+	n.mergeCrashes(stored)
+	return err
+}
+
 // tellCrashes sends the next crash reports to nodes of the zone and of other zones, and updates the gauge of quarantined requests.
 func (n *Node) tellCrashes(local, otherZones int) {
 	now := n.now()
--- a/mesh/deployment.go
+++ b/mesh/deployment.go
@@ -121,8 +121,10 @@
 	WriteCosts(ctx context.Context, costs map[routing.RouteID]tree.Cost) error
 	// Crashes returns the crashes that were written for requests in quarantine.
 	Crashes(ctx context.Context) ([]quarantine.Report, error)
-	// WriteCrashes overwrites the crashes that may be due to a request; without any it removes them.
-	WriteCrashes(ctx context.Context, content request.Fingerprint, crashes []quarantine.Report) error
+	// AddCrashes adds crashes to those that are written for a request, and returns all of them.
+	AddCrashes(ctx context.Context, content request.Fingerprint, crashes []quarantine.Report) ([]quarantine.Report, error)
+	// RemoveCrashes removes the crashes that are written for a request.
+	RemoveCrashes(ctx context.Context, content request.Fingerprint) error
 }
 
 // State is the state that a backend server reports.
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -124,10 +124,21 @@
 	return out, nil
 }
 
-func (d *memoryStore) WriteCrashes(_ context.Context, content request.Fingerprint, crashes []quarantine.Report) error {
+func (d *memoryStore) AddCrashes(_ context.Context, content request.Fingerprint, crashes []quarantine.Report) ([]quarantine.Report, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.crashes[content] = crashes
+	for _, r := range crashes {
+		if !slices.ContainsFunc(d.crashes[content], func(known quarantine.Report) bool { return known.Crash == r.Crash }) {
+			d.crashes[content] = append(d.crashes[content], r)
+		}
+	}
+	return slices.Clone(d.crashes[content]), nil
+}
+
+func (d *memoryStore) RemoveCrashes(_ context.Context, content request.Fingerprint) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.crashes, content)
 	return nil
 }
 
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -137,6 +137,11 @@
 	return reports, d.countCall("crashes", err)
 }
 
-func (d instrumentedStore) WriteCrashes(ctx context.Context, content request.Fingerprint, crashes []quarantine.Report) error {
-	return d.countCall("keep_crashes", d.Store.WriteCrashes(ctx, content, crashes))
+func (d instrumentedStore) AddCrashes(ctx context.Context, content request.Fingerprint, crashes []quarantine.Report) ([]quarantine.Report, error) {
+	reports, err := d.Store.AddCrashes(ctx, content, crashes)
+	return reports, d.countCall("keep_crashes", err)
+}
+
+func (d instrumentedStore) RemoveCrashes(ctx context.Context, content request.Fingerprint) error {
+	return d.countCall("remove_crashes", d.Store.RemoveCrashes(ctx, content))
 }
