standin, store: the stand-in platform can come back from a copy

SaveCopy and Restore as the users describe their drill: what was written since the copy is gone, versions are given out again, a feed after a version that the store does not have gets 410, and Store-Era rises by one in all responses.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -7,10 +7,14 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/sapphiretack/sapphiretack/store"
 )
 
@@ -59,8 +63,15 @@
 	commitMu sync.Mutex
 	changes  []platformChange
 	changed  chan struct{}
+	era      atomic.Uint64 // changes with commitMu held
 }
 
+// PlatformEraHeader is the header of all responses with the number of times that the store came back from a copy, from 1.
+const PlatformEraHeader = "Store-Era"
+
+// errHistoryLost is the error of a request for changes after a version that the store does not have.
+var errHistoryLost = errs.New("the store does not have this version")
+
 // platformChange is an entry of the change feed: a row that was set or removed.
 type platformChange struct {
 	row     platformRow
@@ -91,6 +102,7 @@
 	More    bool           `json:"has_more"`
 	Version store.Revision `json:"ver"`
 	NowMs   int64          `json:"now_ms"`
+	era     uint64         // of the rows
 }
 
 const (
@@ -107,10 +119,49 @@
 // NewPlatform returns an empty platform.
 func NewPlatform() *Platform {
 	p := &Platform{fake: store.NewFake(), slots: make(chan struct{}, maxPlatformRequests), changed: make(chan struct{})}
+	p.era.Store(1)
 	p.fake.SetFaultHook(p.fault)
 	return p
 }
 
+// SaveCopy saves a copy of the rows and objects, to which Restore returns.
+func (p *Platform) SaveCopy() {
+	p.commitMu.Lock()
+	defer p.commitMu.Unlock()
+	p.fake.SaveCopy()
+}
+
+// Restore returns to the saved copy, or to an empty store if there is none, and begins the next era. All that was written since is gone, and
+// the versions since are given out again.
+func (p *Platform) Restore() {
+	p.commitMu.Lock()
+	defer p.commitMu.Unlock()
+	p.fake.Restore()
+	version := p.fake.LastRevision()
+	p.changes = slices.DeleteFunc(p.changes, func(c platformChange) bool { return c.version > version })
+	p.era.Add(1)
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// eraWriter adds the current era to the headers of a response that does not have the era of the rows in it.
+type eraWriter struct {
+	http.ResponseWriter
+	platform *Platform
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w eraWriter) WriteHeader(status int) {
+	if w.Header().Get(PlatformEraHeader) == "" {
+		setEra(w, w.platform.era.Load())
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func setEra(w http.ResponseWriter, era uint64) {
+	w.Header().Set(PlatformEraHeader, strconv.FormatUint(era, 10))
+}
+
 // Handler returns a handler for the protocol of the platform and the administration endpoints.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
@@ -172,6 +223,7 @@
 // withLimits limits the requests in flight and the size of request bodies, and writes the error that serve returns.
 func (p *Platform) withLimits(serve func(w http.ResponseWriter, r *http.Request, body []byte) error) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		w = eraWriter{w, p}
 		select {
 		case p.slots <- struct{}{}:
 			defer func() { <-p.slots }()
@@ -207,10 +259,14 @@
 	base := platformRow{Table: query.Get("table"), Part: query.Get("part")}
 	prefix := base.key()
 	after := prefix + store.Key(query.Get("from"))
-	page := platformPage{Rows: []platformRow{}, NowMs: time.Now().UnixMilli()}
+	page := platformPage{Rows: []platformRow{}, NowMs: time.Now().UnixMilli(), era: p.era.Load()}
 	size := 0
 	for {
 		p.commitMu.Lock()
+		if p.era.Load() != page.era {
+			p.commitMu.Unlock()
+			return store.Unavailable.New("the store has been restored meanwhile")
+		}
 		page.Version = p.fake.LastRevision()
 		rows, err := p.fake.Scan(r.Context(), prefix, keyBefore(after), store.MaxRows)
 		p.commitMu.Unlock()
@@ -220,17 +276,17 @@
 		for _, found := range rows {
 			key := string(found.Key[len(prefix):])
 			if end := query.Get("target"); end != "" && key >= end {
-				return writePlatformJSON(w, http.StatusOK, page)
+				return writePlatformPage(w, page)
 			}
 			if len(page.Rows) == limit || size >= maxPlatformPageBytes {
 				page.More = true
-				return writePlatformJSON(w, http.StatusOK, page)
+				return writePlatformPage(w, page)
 			}
 			size += len(found.Value)
 			page.Rows = append(page.Rows, platformRow{Table: base.Table, Part: base.Part, Key: key, Value: found.Value, Version: found.Revision})
 		}
 		if len(rows) == 0 {
-			return writePlatformJSON(w, http.StatusOK, page)
+			return writePlatformPage(w, page)
 		}
 		after = rows[len(rows)-1].Key + "\x00"
 	}
@@ -270,7 +326,7 @@
 	if err != nil {
 		return err
 	}
-	return writePlatformJSON(w, http.StatusOK, platformPage{Version: p.fake.LastRevision(), NowMs: time.Now().UnixMilli()})
+	return writePlatformPage(w, platformPage{Version: p.fake.LastRevision(), NowMs: time.Now().UnixMilli(), era: p.era.Load()})
 }
 
 // WriteRow writes a row on behalf of the operator of the platform; after an error the row may or may not have been written.
@@ -319,13 +375,16 @@
 			return store.Unavailable.New("the platform is down")
 		}
 		page, changed := p.changesAfter(query.Get("table"), store.Revision(after))
+		if store.Revision(after) > page.Version {
+			return errHistoryLost
+		}
 		if len(page.Rows) > 0 {
-			return writePlatformJSON(w, http.StatusOK, page)
+			return writePlatformPage(w, page)
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return writePlatformJSON(w, http.StatusOK, page)
+			return writePlatformPage(w, page)
 		}
 	}
 }
@@ -333,7 +392,7 @@
 func (p *Platform) changesAfter(table string, after store.Revision) (platformPage, <-chan struct{}) {
 	p.commitMu.Lock()
 	defer p.commitMu.Unlock()
-	page := platformPage{Rows: []platformRow{}, Version: p.fake.LastRevision(), NowMs: time.Now().UnixMilli()}
+	page := platformPage{Rows: []platformRow{}, Version: p.fake.LastRevision(), NowMs: time.Now().UnixMilli(), era: p.era.Load()}
 	for _, c := range p.changes {
 		if c.row.Table == table && c.version > after {
 			page.Rows = append(page.Rows, c.row)
@@ -348,6 +407,7 @@
 		return err
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
+	w.WriteHeader(http.StatusOK)
 	_, err = w.Write(data)
 	return err
 }
@@ -403,6 +463,11 @@
 	_ = writePlatformJSON(w, http.StatusOK, stats)
 }
 
+func writePlatformPage(w http.ResponseWriter, page platformPage) error {
+	setEra(w, page.era)
+	return writePlatformJSON(w, http.StatusOK, page)
+}
+
 func writePlatformJSON(w http.ResponseWriter, status int, v any) error {
 	data, err := json.Marshal(v)
 	if err != nil {
@@ -421,6 +486,8 @@
 	switch {
 	case store.Indeterminate.Has(err):
 		panic(http.ErrAbortHandler)
+	case errors.Is(err, errHistoryLost):
+		status, kind = http.StatusGone, "history_lost"
 	case store.ConditionFailed.Has(err):
 		status, kind = http.StatusPreconditionFailed, "condition_failed"
 	case store.Unavailable.Has(err):
--- a/store/fake.go
+++ b/store/fake.go
@@ -47,6 +47,7 @@
 	lastRevision Revision
 	current      state
 	stale        state
+	saved        copyState
 	hook         FaultHook
 	delayed      []func() error
 }
@@ -58,10 +59,17 @@
 	objects map[string][]byte
 }
 
+// copyState is a copy of the state, and the revision that it is from.
+type copyState struct {
+	state
+	revision Revision
+}
+
 // NewFake returns an empty Fake without faults.
 func NewFake() *Fake {
 	f := &Fake{current: state{rows: map[Key]Row{}, objects: map[string][]byte{}}}
 	f.stale = f.current.clone()
+	f.saved = copyState{state: f.current.clone()}
 	return f
 }
 
@@ -79,6 +87,20 @@
 	f.stale = f.current.clone()
 }
 
+// SaveCopy saves a copy of the current state for Restore.
+func (f *Fake) SaveCopy() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.saved = copyState{f.current.clone(), f.lastRevision}
+}
+
+// Restore returns to the saved copy; the revisions of the transactions since are used again. Delayed operations stay delayed.
+func (f *Fake) Restore() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current, f.lastRevision = f.saved.state.clone(), f.saved.revision
+}
+
 // ApplyDelayed applies the delayed operations in the order of their calls.
 func (f *Fake) ApplyDelayed() {
 	f.mu.Lock()
