platform, mesh: a watch of the store ends with the era of its cursor

Callers got 404 on a route that the operator had added after the store came back from a copy, on a node whose watch went on from a number of before: once the counter of the restored store is past that number, the store answers without rows, and a change with a lower number is never delivered. The class of fault is a version that outlives the history it belongs to.

A cursor now has the era of Store-Era. A watch ends with HistoryLost when a response shows a later era, to this call or any other one of the node; a response of an earlier era is an error. A cursor is used only directly after the response it is from: after an error, by a node that takes over the watch, or by one that was held up, the configuration is read. Watches end at random times between 12.5 and 25 s, so that with all watchers held on silent connections some node learns the era soon. The cost is a read for each lost connection to the store, and a third more watch calls.

--- a/mesh/deployment.go
+++ b/mesh/deployment.go
@@ -10,6 +10,7 @@
 	"github.com/sapphiretack/sapphiretack/quarantine"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/routing"
+	"github.com/sapphiretack/sapphiretack/store"
 	"github.com/sapphiretack/sapphiretack/tree"
 )
 
@@ -99,7 +100,14 @@
 	// Encoded is the configuration in the encoding of the store, to be served to nodes that cannot reach the store.
 	Encoded []byte
 	// Cursor is the position from which to continue the watch.
-	Cursor uint64
+	Cursor Cursor
+}
+
+// Cursor is a position in the history of the store. Version is of its era only, since a store that came back from a copy gives out versions
+// again.
+type Cursor struct {
+	Era     store.Era
+	Version uint64
 }
 
 // Store is the store of a deployment, with the routing configuration, the addresses of the nodes, the costs of requests and the
@@ -107,8 +115,12 @@
 type Store interface {
 	// Configuration reads the latest configuration.
 	Configuration(ctx context.Context) (ConfigurationUpdate, error)
-	// Watch waits for a change after the cursor. After a HistoryLost error the caller has to read Configuration again.
-	Watch(ctx context.Context, cursor uint64) (ConfigurationUpdate, error)
+	// Watch waits for a change after the cursor, and returns no configuration if there is none within the given time. After a HistoryLost
+	// error the caller has to read Configuration again.
+	Watch(ctx context.Context, cursor Cursor, wait time.Duration) (ConfigurationUpdate, error)
+	// AwaitEra returns the era of the store as soon as a response to any call shows one later than the given one. The error is that of the
+	// context.
+	AwaitEra(ctx context.Context, after store.Era) (store.Era, error)
 	// Decode decodes a configuration from the encoding of the store.
 	Decode(encoded []byte) (*routing.Configuration, error)
 	// Register stores the address of this node.
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -27,6 +27,7 @@
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/routing"
 	"github.com/sapphiretack/sapphiretack/standin"
+	"github.com/sapphiretack/sapphiretack/store"
 	"github.com/sapphiretack/sapphiretack/tree"
 )
 
@@ -64,7 +65,12 @@
 	return mesh.ConfigurationUpdate{Configuration: d.current, Encoded: []byte(strconv.Itoa(int(d.current.Version)))}, nil
 }
 
-func (d *memoryStore) Watch(ctx context.Context, _ uint64) (mesh.ConfigurationUpdate, error) {
+func (d *memoryStore) AwaitEra(ctx context.Context, _ store.Era) (store.Era, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (d *memoryStore) Watch(ctx context.Context, _ mesh.Cursor, _ time.Duration) (mesh.ConfigurationUpdate, error) {
 	d.mu.Lock()
 	changed := d.changed
 	d.mu.Unlock()
@@ -164,6 +170,7 @@
 type deployment struct {
 	c        *qt.C
 	store    *memoryStore
+	newStore func() mesh.Store // the store of a node that starts; it is d.store if this is nil
 	ports    map[string]uint16
 	network  byte
 	log      zerolog.Logger
@@ -277,8 +284,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	m.stopNode = func() { cancel(); <-done }
+	var nodeStore mesh.Store = d.store
+	if d.newStore != nil {
+		nodeStore = d.newStore()
+	}
 	m.node = mesh.New(mesh.Dependencies{
-		Settings: m.settings, HeaderCodec: platform.HeaderCodec{}, Store: d.store, Log: d.log,
+		Settings: m.settings, HeaderCodec: platform.HeaderCodec{}, Store: nodeStore, Log: d.log,
 		ControlHandler: platform.ControlHandler, ReadinessHandler: platform.ReadinessHandler,
 	})
 	node := m.node
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
@@ -109,8 +110,8 @@
 	return u, d.countCall("configuration", err)
 }
 
-func (d instrumentedStore) Watch(ctx context.Context, cursor uint64) (ConfigurationUpdate, error) {
-	u, err := d.Store.Watch(ctx, cursor)
+func (d instrumentedStore) Watch(ctx context.Context, cursor Cursor, wait time.Duration) (ConfigurationUpdate, error) {
+	u, err := d.Store.Watch(ctx, cursor, wait)
 	return u, d.countCall("watch", err)
 }
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -30,7 +30,7 @@
 // Error is the class of errors that this package returns.
 var Error = errs.Class("mesh")
 
-// HistoryLost is the class of errors for a watch cursor whose later changes the store has already discarded.
+// HistoryLost is the class of errors for a watch cursor whose later changes the store has already discarded, or that is of an earlier era.
 var HistoryLost = errs.Class("history lost")
 
 const (
--- /dev/null
+++ b/mesh/restore_test.go
@@ -0,0 +1,102 @@
+package mesh_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/mesh"
+	"github.com/sapphiretack/sapphiretack/platform"
+	"github.com/sapphiretack/sapphiretack/standin"
+)
+
+// restoredDeployment is a deployment at a stand-in platform whose store can come back from a copy.
+type restoredDeployment struct {
+	*deployment
+	platform *standin.Platform
+	server   *httptest.Server
+	isAway   atomic.Bool // whether the store responds with status 503
+}
+
+// newRestoredDeployment returns a deployment without machines, whose store has version 1 of the configuration.
+func newRestoredDeployment(t *testing.T) *restoredDeployment {
+	t.Parallel()
+	d := &restoredDeployment{platform: standin.NewPlatform()}
+	handler := d.platform.Handler()
+	d.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.isAway.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(d.server.Close)
+	d.deployment = newSerialDeployment(t, ledgerConfiguration(1, birdsRoute()))
+	d.logOnFailure(t)
+	d.newStore = func() mesh.Store { return d.client() }
+	d.configure(1)
+	return d
+}
+
+// client returns a client of the store, as each node has one.
+func (d *restoredDeployment) client() *platform.MeshStore {
+	client, err := platform.NewClient(d.server.URL, 0)
+	d.c.Assert(err, qt.IsNil)
+	return platform.NewMeshStore(client, d.log)
+}
+
+// restore lets the store go away and come back from its copy; meanwhile is called before it responds again.
+func (d *restoredDeployment) restore(meanwhile func()) {
+	d.isAway.Store(true)
+	d.server.CloseClientConnections()
+	d.platform.Restore()
+	meanwhile()
+	d.isAway.Store(false)
+}
+
+// configure writes a version of the configuration, in which the route of each version from 1 on leads to the registry.
+func (d *restoredDeployment) configure(version int) {
+	d.c.Helper()
+	var routes []standin.ApplicationRoute
+	for v := range version {
+		routes = append(routes, standin.ApplicationRoute{
+			Name: fmt.Sprint("route", v+1), Prefix: fmt.Sprintf("/v%d/", v+1), Service: "registry", IsIdempotent: true, MaxAttempts: 2,
+		})
+	}
+	document := standin.ApplicationConfiguration(version, "ledger.example", routes)
+	d.c.Assert(d.platform.WriteRow(d.c.Context(), "op", "config", document), qt.IsNil)
+}
+
+// countUp writes other rows of the operator's table, so that the version of the store rises.
+func (d *restoredDeployment) countUp(writes int) {
+	for i := range writes {
+		d.c.Assert(d.platform.WriteRow(d.c.Context(), "op", fmt.Sprint("other", i), nil), qt.IsNil)
+	}
+}
+
+// waitForVersion waits until a node uses a version of the configuration.
+func (d *restoredDeployment) waitForVersion(m *machine, version int) {
+	d.c.Helper()
+	path := fmt.Sprintf("/v%d/", version)
+	d.eventually("the node has the version", func() bool { return d.get(m, path, "version").status == http.StatusOK })
+}
+
+// TestWatchAfterRestore guards against a node that goes on watching the store from a version of before the store came back from a copy, and
+// misses the changes with lower versions.
+func TestWatchAfterRestore(t *testing.T) {
+	d := newRestoredDeployment(t)
+	d.platform.SaveCopy()
+	d.countUp(20)
+	m := d.start("registry", "a", time.Millisecond)
+	d.waitForVersion(m, 1)
+	d.restore(func() {
+		d.configure(2)
+		d.countUp(40)
+	})
+	d.waitForVersion(m, 2)
+}
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -22,6 +22,11 @@
 	fetchTimeout = 800 * time.Millisecond
 	// maxConfigurationBytes is the maximum size in bytes of an encoded configuration.
 	maxConfigurationBytes = 4 << 20
+	// maxWatchTime is the longest time that a watch waits for a change. The platform allows up to 30 s and charges for each call. Watches end
+	// at random times, so that some node of the fleet soon learns the era of the store in any case.
+	maxWatchTime = 25 * time.Second
+	// maxCursorAge is the age from which a cursor is not used.
+	maxCursorAge = 500 * time.Millisecond
 	// roleInterval is the time between checks of whether this node has to watch the store.
 	roleInterval = 100 * time.Millisecond
 	// minAddressInterval and maxAddressInterval bound the time between reads of the addresses while no other node is heard of.
@@ -30,40 +35,58 @@
 	configurationHost, configurationPath = "sapphiretack", "/configuration"
 )
 
+// watchCursor decides whether to watch the store from the last cursor or to read the configuration anew.
+type watchCursor struct {
+	cursor   Cursor
+	received request.Instant
+	isUsable bool
+}
+
+// receive records the cursor of a response.
+func (w *watchCursor) receive(now request.Instant, c Cursor) {
+	*w = watchCursor{cursor: c, received: now, isUsable: true}
+}
+
+// discard discards the cursor after an error: the store may have come back from a copy meanwhile.
+func (w *watchCursor) discard() { w.isUsable = false }
+
+// next returns the cursor from which to watch, or false if the configuration is to be read. A cursor that was not used at once may be of an
+// earlier era; the store would answer a watch from there only after its time, without the changes that have lower versions.
+func (w *watchCursor) next(now request.Instant) (Cursor, bool) {
+	return w.cursor, w.isUsable && now.Sub(w.received) < maxCursorAge
+}
+
 // watchLoop keeps the routing configuration up to date from the store. While other nodes of the zone watch the store, this node
 // learns of changes from them.
 func (n *Node) watchLoop(ctx context.Context) error {
-	var cursor uint64
-	hasConfiguration, isStoreDown := false, false
+	var last watchCursor
+	hasRead, isStoreDown := false, false
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		var u ConfigurationUpdate
-		var err error
-		if hasConfiguration {
-			if !n.awaitWatcherRole(ctx) {
-				return nil
-			}
-			u, err = n.store.Watch(ctx, cursor)
-		} else {
-			u, err = n.store.Configuration(ctx)
+		if hasRead && !n.awaitWatcherRole(ctx) {
+			return nil
 		}
+		u, err := n.readOrWatch(ctx, &last)
 		if ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
-			hasConfiguration = hasConfiguration && !HistoryLost.Has(err)
-			if !isStoreDown {
+			last.discard()
+			if HistoryLost.Has(err) {
+				n.log.Info().Str("event", "history_lost").Err(err).Msg("cannot continue the watch of the store; reading the configuration again")
+			} else if !isStoreDown {
+				isStoreDown = true
 				n.log.Warn().Str("event", "dependency_lost").Str("dependency", "store").Err(err).
 					Int64("config_version", int64(n.configuration.Version())).Msg("cannot read the configuration from the store; retrying")
 			}
-			isStoreDown = true
 			n.backOff(ctx, &backoff)
 			continue
 		}
 		if isStoreDown {
 			n.log.Info().Str("event", "dependency_regained").Str("dependency", "store").Msg("store is available again")
 		}
-		isStoreDown, hasConfiguration, cursor, backoff = false, true, u.Cursor, minBackoff
+		hasRead, isStoreDown, backoff = true, false, minBackoff
+		last.receive(n.now(), u.Cursor)
 		if u.Configuration != nil {
 			n.applyConfiguration(u.Configuration, u.Encoded, "store")
 		}
@@ -71,6 +94,17 @@
 	return nil
 }
 
+func (n *Node) readOrWatch(ctx context.Context, last *watchCursor) (ConfigurationUpdate, error) {
+	cursor, ok := last.next(n.now())
+	if !ok {
+		return n.store.Configuration(ctx)
+	}
+	n.plannerMu.Lock()
+	wait := maxWatchTime/2 + time.Duration(n.rng.Int64N(int64(maxWatchTime/2)))
+	n.plannerMu.Unlock()
+	return n.store.Watch(ctx, cursor, wait)
+}
+
 // awaitWatcherRole returns when this node has to watch the store; it returns false if the context is cancelled first.
 func (n *Node) awaitWatcherRole(ctx context.Context) bool {
 	for ctx.Err() == nil {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -236,8 +236,7 @@
 			writePlatformError(w, store.Refused.New("the body cannot be read: %v; send at most %d bytes", err, maxPlatformBodyBytes))
 			return
 		}
-		// A change takes effect even if its client has disconnected, as at a remote service.
-		if err := serve(w, r.WithContext(context.WithoutCancel(r.Context())), body); err != nil {
+		if err := serve(w, r, body); err != nil {
 			writePlatformError(w, err)
 		}
 	}
@@ -319,7 +318,8 @@
 	p.commitMu.Lock()
 	defer p.commitMu.Unlock()
 	before := p.fake.LastRevision()
-	err := p.fake.Commit(r.Context(), transaction)
+	// A change takes effect even if its client has disconnected, as at a remote service.
+	err := p.fake.Commit(context.WithoutCancel(r.Context()), transaction)
 	if version := p.fake.LastRevision(); version != before {
 		p.record(request, version)
 	}
@@ -385,6 +385,8 @@
 		case <-changed:
 		case <-timer.C:
 			return writePlatformPage(w, page)
+		case <-r.Context().Done():
+			return store.Unavailable.Wrap(r.Context().Err())
 		}
 	}
 }
@@ -413,7 +415,7 @@
 }
 
 func (p *Platform) servePutBlob(w http.ResponseWriter, r *http.Request, body []byte) error {
-	if err := p.fake.Put(r.Context(), r.PathValue("name"), body); err != nil {
+	if err := p.fake.Put(context.WithoutCancel(r.Context()), r.PathValue("name"), body); err != nil {
 		return err
 	}
 	return writePlatformJSON(w, http.StatusOK, struct{}{})
--- a/store/table.go
+++ b/store/table.go
@@ -31,6 +31,10 @@
 	MaxPageBytes = 4 << 20
 )
 
+// Era counts how often a store came back from a copy that is older than what it had acknowledged, and is 0 if that is not known. What was
+// written since the copy is gone, and revisions are given out again, so a revision stands for a content within one era only.
+type Era uint64
+
 // Key is the key of a row; keys are ordered bytewise.
 type Key string
 
