--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -121,3 +122,25 @@
 	d.restore(func() {})
 	d.eventually("all nodes are registered again", hasAll)
 }
+
+// TestWatchIsNotSentAgain guards against a watch that net/http sends again by itself when its connection breaks, and that goes on unnoticed at a
+// store that has come back from a copy.
+func TestWatchIsNotSentAgain(t *testing.T) {
+	d := newRestoredDeployment(t)
+	d.platform.SaveCopy()
+	for range 4 {
+		d.start("registry", "a", time.Millisecond)
+	}
+	for _, m := range d.machines {
+		d.waitForVersion(m, 1)
+	}
+	d.server.CloseClientConnections()
+	d.eventually("all nodes have lost their watch", func() bool {
+		for _, m := range d.machines {
+			if !strings.Contains(d.metrics(m), "store.watch.failed 1\n") {
+				return false
+			}
+		}
+		return true
+	})
+}
