mesh, quarantine: the quarantine of requests survives a restored store

After the store came back from a copy, the rows of requests put in quarantine since were gone, so that a restart of all nodes would have forgotten them, and the rows of a quarantine lifted since were back, so that it would have refused what had completed. The nodes that watch the store now read the rows in the next era, write those of requests that they know in quarantine, and remove those of requests that they know to have completed.

--- a/mesh/crash.go
+++ b/mesh/crash.go
@@ -337,7 +337,7 @@
 	partners := n.fleet.Partners(now, local, otherZones)
 	n.fleetMu.Unlock()
 	n.crashMu.Lock()
-	n.metrics.quarantined.Update(int64(n.crashes.Quarantined(now)))
+	n.metrics.quarantined.Update(int64(len(n.crashes.Quarantined(now))))
 	var reports []quarantine.Report
 	if len(partners) > 0 {
 		reports = n.crashes.Next(now)
--- a/mesh/restore.go
+++ b/mesh/restore.go
@@ -25,10 +25,27 @@
 		n.plannerMu.Unlock()
 		request.Sleep(ctx, delay)
 		n.restoreAddresses(ctx)
+		n.restoreCrashes(ctx)
 	}
 	return nil
 }
 
+// restoreCrashes writes the crashes of requests in quarantine again, if this node watches the store, and removes those of requests that have
+// completed since the copy was made.
+func (n *Node) restoreCrashes(ctx context.Context) {
+	n.fleetMu.Lock()
+	isWatcher := n.fleet.IsWatcher(n.now())
+	n.fleetMu.Unlock()
+	if !isWatcher {
+		return
+	}
+	n.readCrashes(ctx)
+	n.crashMu.Lock()
+	quarantined := n.crashes.Quarantined(n.now())
+	n.crashMu.Unlock()
+	n.storeCrashes(quarantined...)
+}
+
 // restoreAddresses writes the addresses of live nodes of the zone that the store lacks, if this node watches the store, retrying until that
 // succeeds. Nodes that start later find the others by these rows.
 func (n *Node) restoreAddresses(ctx context.Context) {
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -60,10 +60,10 @@
 	d.isAway.Store(false)
 }
 
-// configure writes a version of the configuration, in which the route of each version from 1 on leads to the registry.
+// configure writes a version of the configuration, in which a route for each version from 1 on leads to the registry.
 func (d *restoredDeployment) configure(version int) {
 	d.c.Helper()
-	var routes []standin.ApplicationRoute
+	routes := []standin.ApplicationRoute{{Name: "birds", Prefix: "/birds/", Service: "registry", IsIdempotent: true, MaxAttempts: 2}}
 	for v := range version {
 		routes = append(routes, standin.ApplicationRoute{
 			Name: fmt.Sprint("route", v+1), Prefix: fmt.Sprintf("/v%d/", v+1), Service: "registry", IsIdempotent: true, MaxAttempts: 2,
@@ -144,3 +144,51 @@
 		return true
 	})
 }
+
+// hasCrashes reports whether the store has the given number of crashes of requests.
+func (d *restoredDeployment) hasCrashes(store *platform.MeshStore, count int) func() bool {
+	return func() bool {
+		reports, err := store.Crashes(d.c.Context())
+		return err == nil && len(reports) == count
+	}
+}
+
+// TestQuarantineAfterRestore guards against a quarantine that is forgotten with the rows of a store that comes back from a copy, and against
+// one that was lifted and is back with them.
+func TestQuarantineAfterRestore(t *testing.T) {
+	d := newRestoredDeployment(t)
+	d.platform.SaveCopy()
+	runs, lift := atomic.Int32{}, make(chan struct{})
+	d.restartAfter = 150 * time.Millisecond
+	d.crashes = func(r standin.ApplicationRun) bool {
+		if r.Target != crashPath {
+			return false
+		}
+		if runs.Add(1) == 1 {
+			<-lift // the request completes here at last
+			return false
+		}
+		return true
+	}
+	for i := range 3 {
+		d.start("registry", string(rune('a'+i)), time.Millisecond)
+	}
+	d.waitUntilServing("/birds/1")
+	store := d.client()
+	first := d.machines[0]
+	d.group.Go(func() error { d.get(first, crashPath, "completes"); return nil })
+	d.eventually("the request runs", func() bool { return runs.Load() == 1 })
+	for i, m := range d.machines[1:] {
+		d.get(m, crashPath, fmt.Sprint("crash", i))
+		d.eventually("the backend server is back", func() bool { return !m.isDown() })
+	}
+	d.waitForQuarantine()
+	d.eventually("the quarantine is stored", d.hasCrashes(store, 2))
+	d.restore(func() {})
+	d.eventually("the quarantine is stored again", d.hasCrashes(store, 2))
+	d.platform.SaveCopy()
+	close(lift)
+	d.eventually("the quarantine is lifted", d.hasCrashes(store, 0))
+	d.restore(func() {})
+	d.eventually("the quarantine is not back", d.hasCrashes(store, 0))
+}
--- a/quarantine/crash_log.go
+++ b/quarantine/crash_log.go
@@ -348,15 +348,15 @@
 	return out
 }
 
-// Quarantined returns the number of requests in quarantine.
-func (l *CrashLog) Quarantined(now request.Instant) int {
-	n := 0
+// Quarantined returns the requests in quarantine, in no particular order.
+func (l *CrashLog) Quarantined(now request.Instant) []request.Fingerprint {
+	var out []request.Fingerprint
 	for f, suspects := range l.byFingerprint {
 		if len(suspects) >= quarantineCount && l.State(now, f) == Quarantined {
-			n++
+			out = append(out, f)
 		}
 	}
-	return n
+	return out
 }
 
 const (
