mesh: a starting node accepts clients with the configuration that other nodes have

Callers got 404 on an added route from a node that started when the store had come back from a copy: it took the older configuration from there and was ready at once, while the others, which never go back, had the newer one. Evidence: mesh.TestStartAfterRestore, 404 on such nodes before. Remaining: of several nodes that start at once, one may hear only of others that have the older version as well.

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -179,6 +179,7 @@
 		if m.ConfigurationVersion > version {
 			version, holder = m.ConfigurationVersion, from.Addr().Unmap()
 		}
+		n.readiness.hear(version)
 		if version > n.configuration.Version() {
 			n.scheduleFetch(ctx, holder, version)
 		}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -41,8 +41,6 @@
 	headerTimeout = 2 * time.Second
 	// idleTimeout closes unused connections between nodes.
 	idleTimeout = 60 * time.Second
-	// peerAddressTimeout is how long a starting node waits for the addresses of other nodes before it reports itself ready.
-	peerAddressTimeout = time.Second
 )
 
 // Dependencies are the settings and collaborators of a Node.
@@ -85,11 +83,11 @@
 	hasLostCosts atomic.Bool
 	rng          *rand.Rand
 
-	fleetMu          sync.Mutex
-	fleet            *fleet.Table
-	gossipConn       *net.UDPConn
-	isFetching       atomic.Bool
-	hasPeerAddresses atomic.Bool // whether the addresses of other nodes have been read
+	fleetMu    sync.Mutex
+	fleet      *fleet.Table
+	gossipConn *net.UDPConn
+	isFetching atomic.Bool
+	readiness  readiness
 
 	backend              *backend
 	ticks                tickState
@@ -164,7 +162,7 @@
 
 // IsReady reports whether the node accepts client requests.
 func (n *Node) IsReady() bool {
-	return !n.isStopping.Load() && n.configuration.Load() != nil && (n.hasPeerAddresses.Load() || time.Since(n.start) > peerAddressTimeout)
+	return !n.isStopping.Load() && n.readiness.check(time.Since(n.start), n.configuration.Version())
 }
 
 // Run serves until the context is cancelled, then drains requests in flight; it returns an error if a listener cannot be
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -210,3 +210,33 @@
 	d.restore(func() {})
 	d.eventually("the costs are stored again", hasCosts)
 }
+
+// TestStartAfterRestore guards against a node that starts when the store has come back from a copy, and accepts clients with the older
+// configuration from there.
+func TestStartAfterRestore(t *testing.T) {
+	d := newRestoredDeployment(t)
+	d.platform.SaveCopy()
+	first := d.start("registry", "a", time.Millisecond)
+	d.waitForVersion(first, 1)
+	d.configure(2)
+	d.waitForVersion(first, 2)
+	store := d.client()
+	d.restore(func() {})
+	d.eventually("the first node is registered again", func() bool {
+		addresses, err := store.Addresses(t.Context())
+		return err == nil && len(addresses) == 1
+	})
+	for range 5 {
+		m := d.start("registry", "a", time.Millisecond)
+		d.eventually("the node is ready", func() bool {
+			response, err := http.Get("http://" + m.settings.Readiness.String() + "/-/readiness")
+			if err != nil {
+				return false
+			}
+			_ = response.Body.Close()
+			return response.StatusCode == http.StatusOK
+		})
+		d.c.Check(d.get(m, "/v2/", "added").status, qt.Equals, http.StatusOK)
+	}
+	d.c.Check(d.get(first, "/v2/", "added").status, qt.Equals, http.StatusOK, qt.Commentf("the node that was ahead of the store went back"))
+}
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -268,8 +268,9 @@
 		n.fleetMu.Lock()
 		n.fleet.AddEndpoints(n.now(), endpoints)
 		n.fleetMu.Unlock()
-		isRegistered := slices.Contains(endpoints, fleet.Endpoint{Address: n.settings.Address, Zone: n.settings.Zone})
-		n.hasPeerAddresses.Store(true)
+		self := fleet.Endpoint{Address: n.settings.Address, Zone: n.settings.Zone}
+		isRegistered := slices.Contains(endpoints, self)
+		n.readiness.readAddresses(len(slices.DeleteFunc(slices.Clone(endpoints), func(e fleet.Endpoint) bool { return e.Address == self.Address })))
 		n.log.Info().Str("event", "addresses").Int("nodes", len(endpoints)).Bool("registered", isRegistered).Msg("read the addresses of other nodes")
 		return isRegistered
 	}
