soak: the store comes back from a copy, and the latest configuration has to be served

Up to two times a run the store goes away and comes back from a copy up to a quarter of the run old; the operator then writes its configuration again. At the end each machine has to serve the route of the latest version within 2 s.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -85,6 +85,9 @@
 	IsWithin bool
 }
 
+// Restore lets the store go away and come back from a copy, after which the operator writes the configuration again.
+type Restore struct{ Age, Away time.Duration }
+
 // Configure writes a new version of the configuration.
 type Configure struct{}
 
@@ -100,6 +103,7 @@
 func (Leave) fault()        {}
 func (Limit) fault()        {}
 func (CrashRequest) fault() {}
+func (Restore) fault()      {}
 func (Configure) fault()    {}
 
 // Step is a fault and when to inject it, counted from the start of the clients.
@@ -120,6 +124,8 @@
 	quietFraction = 0.2
 	// addedStepsPerSecond is the rate of the faults that are drawn apart, so that the other faults of a seed stay the same.
 	addedStepsPerSecond = 0.5
+	// maxRestores is the maximum number of times that the store comes back from a copy, drawn apart as well.
+	maxRestores = 2
 	// crashSends is how often a request that crashes backend servers is sent.
 	crashSends = 8
 )
@@ -141,6 +147,11 @@
 		}
 		steps = append(steps, step)
 	}
+	restores := rand.New(rand.NewPCG(seed, 2))
+	for range restores.IntN(maxRestores + 1) {
+		age, away := time.Duration(restores.Int64N(int64(window/4))), time.Duration(restores.Int64N(int64(window/8)))
+		steps = append(steps, Step{At: time.Duration(restores.Int64N(int64(window / 2))), Fault: Restore{age, away}})
+	}
 	slices.SortFunc(steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	return steps
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -51,6 +51,8 @@
 	startTimeout = 20 * time.Second
 	// recoveryTimeout is the limit on the time until all nodes serve again after the last fault; users' deployments allow 15 s.
 	recoveryTimeout = 15 * time.Second
+	// configurationTimeout is the limit on the time until all nodes have the latest configuration after they serve again.
+	configurationTimeout = 2 * time.Second
 	// requiredSuccesses is the number of consecutive successes after which the deployment counts as recovered.
 	requiredSuccesses = 40
 	// maxAttempts is the attempt limit of the routes whose requests may be retried.
@@ -72,7 +74,10 @@
 
 	mu         sync.Mutex
 	violations []Violation
+
+	operatorMu sync.Mutex // held while the operator writes
 	version    int
+	document   []byte // the latest configuration that the store has acknowledged
 }
 
 // Run injects the faults of a seed and reports the violated guarantees; an error means that the run itself failed.
@@ -132,6 +137,7 @@
 		r.awaitService(ctx, "start", startTimeout)
 		r.injectFaults(ctx, steps)
 		r.awaitService(ctx, "recover", recoveryTimeout)
+		r.awaitConfiguration(ctx)
 	}
 	r.stopping.Store(true)
 	cancel()
@@ -155,21 +161,43 @@
 	return func() { _ = server.Close(); _ = group.Wait() }, nil
 }
 
-// configure writes the next version of the configuration to the store, and tries again until that succeeds.
+// configure writes the next version of the configuration to the store, and tries again until that succeeds. Each version has a route of its
+// own.
 func (r *run) configure(ctx context.Context) {
-	r.mu.Lock()
+	r.operatorMu.Lock()
+	defer r.operatorMu.Unlock()
 	r.version++
-	document := standin.ApplicationConfiguration(r.version, clientHost, []standin.ApplicationRoute{
+	r.document = standin.ApplicationConfiguration(r.version, clientHost, []standin.ApplicationRoute{
 		{Name: "read", Prefix: "/read/", Service: "read", IsIdempotent: true, Priority: 1, MaxAttempts: maxAttempts},
 		{Name: "call", Prefix: "/call/", Service: "order", IsIdempotent: true, Priority: 2, MaxAttempts: maxAttempts},
 		{Name: "order", Prefix: "/order/", Service: "order", MaxAttempts: 1},
+		{Name: fmt.Sprint("version", r.version), Prefix: versionPrefix(r.version), Service: "read", IsIdempotent: true, MaxAttempts: maxAttempts},
 	})
-	r.mu.Unlock()
-	for ctx.Err() == nil && r.platform.WriteRow(ctx, "op", "config", document) != nil {
+	r.writeConfiguration(ctx)
+}
+
+func versionPrefix(version int) string { return fmt.Sprintf("/version%d/", version) }
+
+// writeConfiguration writes the latest configuration. The caller holds r.operatorMu.
+func (r *run) writeConfiguration(ctx context.Context) {
+	for ctx.Err() == nil && r.platform.WriteRow(ctx, "op", "config", r.document) != nil {
 		request.Sleep(ctx, reportInterval)
 	}
 }
 
+// restoreStore lets the store come back from a copy of its present state.
+func (r *run) restoreStore(ctx context.Context, f Restore) {
+	r.platform.SaveCopy()
+	request.Sleep(ctx, f.Age)
+	r.platform.SetFaults(standin.PlatformFaults{Down: true})
+	request.Sleep(ctx, f.Away)
+	r.platform.Restore()
+	r.platform.SetFaults(standin.PlatformFaults{})
+	r.operatorMu.Lock()
+	defer r.operatorMu.Unlock()
+	r.writeConfiguration(ctx)
+}
+
 // injectFaults runs the clients and injects the faults meanwhile.
 func (r *run) injectFaults(ctx context.Context, steps []Step) {
 	clientCtx, stopClients := context.WithCancel(ctx)
@@ -246,6 +274,8 @@
 		return m.startApplication()
 	case Configure:
 		r.configure(ctx)
+	case Restore:
+		r.restoreStore(ctx, f)
 	case Limit:
 		r.machines[f.Machine].limitApplication(ctx, f)
 	case CrashRequest:
@@ -276,6 +306,26 @@
 	}
 }
 
+// awaitConfiguration waits until the route of the latest version is served by each machine; it records a violation if that takes longer than
+// configurationTimeout.
+func (r *run) awaitConfiguration(ctx context.Context) {
+	transport := &http.Transport{DisableCompression: true, DisableKeepAlives: true}
+	start := time.Now()
+	for i := 0; i < len(r.machines) && ctx.Err() == nil; request.Sleep(ctx, clientPause) {
+		sent := Request{ID: fmt.Sprintf("%d-version-%d-%v", r.settings.Seed, i, time.Since(start)), Method: http.MethodGet, Path: versionPrefix(r.version) + "probe"}
+		r.history.AddRequest(sent)
+		got := sendRequest(transport, r.machines[i].address(0, outboundPort), sent)
+		r.history.AddOutcome(got)
+		switch {
+		case got.Status == http.StatusOK:
+			i++
+		case time.Since(start) > configurationTimeout:
+			r.addViolation("config", fmt.Sprintf("machine %d does not serve version %d after %v; status %d", i, r.version, configurationTimeout, got.Status))
+			i++
+		}
+	}
+}
+
 func (r *run) countOutcome(o Outcome) {
 	r.sent.Add(1)
 	switch o.Status {
