quarantine, mesh: a crash is seen although the node beside the backend server ends with it

A request that ends backend servers together with their nodes was sent on and on: only the node beside a server told of its crash. A source knows only a part of what was in flight, so that such a crash is most likely due to a request only if the request was in flight at an earlier one as well; a node that ended alone, with its server still there, is no crash.

Remaining: a machine that goes silent without ending its connections, and one that does not come back, give no such evidence.

--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -153,11 +153,11 @@
 	if t.IsSelf {
 		return n.backend.run(ctx, a)
 	}
-	return n.sendToPeer(ctx, a, t.Address)
+	return n.sendToPeer(ctx, a, t)
 }
 
 // sendToPeer sends an attempt to the gate of another node.
-func (n *Node) sendToPeer(ctx context.Context, a attempt, to netip.Addr) outcome {
+func (n *Node) sendToPeer(ctx context.Context, a attempt, t placement.Target) outcome {
 	a.header = a.header.Clone()
 	a.header.Set(callHeader, a.encodeCall())
 	a.header.Set(contentHeader, a.content.String())
@@ -165,13 +165,13 @@
 		a.header.Set(crashesHeader, encodeCrashes(a.crashes))
 	}
 	n.headers.WriteTimeout(a.header, a.deadline.Sub(n.now()))
-	r, err := newOneShotRequest(ctx, a, netip.AddrPortFrom(to, n.settings.Inbound.Port()).String())
+	r, err := newOneShotRequest(ctx, a, netip.AddrPortFrom(t.Address, n.settings.Inbound.Port()).String())
 	if err != nil {
 		return notRun{reason: gate.UnknownServer}
 	}
 	response, err := n.peerTransport.RoundTrip(r)
 	if err != nil {
-		return n.classifyPeerError(ctx, to, err)
+		return n.classifyPeerError(ctx, a, t, err)
 	}
 	return n.readPeerResponse(a, response)
 }
@@ -182,17 +182,20 @@
 
 // classifyPeerError maps a transport error to an outcome. Only a connection that was never established proves that the
 // attempt did not run.
-func (n *Node) classifyPeerError(ctx context.Context, to netip.Addr, err error) outcome {
+func (n *Node) classifyPeerError(ctx context.Context, a attempt, t placement.Target, err error) outcome {
 	if ctx.Err() != nil {
 		return broken{err: ctx.Err()}
 	}
 	n.fleetMu.Lock()
-	n.fleet.MarkUnreachable(n.now(), to, peerAvoidTime)
+	n.fleet.MarkUnreachable(n.now(), t.Address, peerAvoidTime)
 	n.fleetMu.Unlock()
 	n.metrics.peerFailures.Inc(1)
 	if request.IsUnsent(err) {
 		return notRun{reason: gate.Down}
 	}
+	n.crashMu.Lock()
+	n.peerLosses.Add(n.now(), t.Address, t.Instance, a.content)
+	n.crashMu.Unlock()
 	return broken{err: err}
 }
 
--- a/mesh/crash.go
+++ b/mesh/crash.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"net"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -137,12 +138,8 @@
 	}
 	b.crashed = incarnation
 	n.metrics.crashes.Inc(1)
-	contents := make([]string, 0, maxLoggedContents)
-	for _, f := range inFlight[:min(len(inFlight), maxLoggedContents)] {
-		contents = append(contents, f.String())
-	}
 	n.log.Warn().Str("event", "backend_crashed").Str("instance_id", string(incarnation)).Int("in_flight", len(inFlight)).
-		Strs("contents", contents).Msg("backend server ended without notice while it ran requests")
+		Strs("contents", contentTexts(inFlight)).Msg("backend server ended without notice while it ran requests")
 	crash := quarantine.Crash{Instance: incarnation}
 	if !b.lastReport.StartTime.IsZero() {
 		crash.Incarnation = request.Incarnation(b.lastReport.StartTime.UnixMilli())
@@ -155,6 +152,43 @@
 	n.storeCrashes(quarantined...)
 }
 
+// observePeerCrashes records the crashes of backend servers whose nodes ended with them.
+func (n *Node) observePeerCrashes(view fleet.View) {
+	now := n.now()
+	n.crashMu.Lock()
+	crashes := n.peerLosses.Check(now, func(peer netip.Addr) request.InstanceID {
+		for i := range view.Instances {
+			if in := &view.Instances[i]; in.Address == peer && in.IsFresh {
+				return in.Instance
+			}
+		}
+		return ""
+	})
+	var quarantined []request.Fingerprint
+	for _, c := range crashes {
+		incarnation, _ := c.Instance.SplitStart()
+		n.metrics.crashes.Inc(1)
+		n.log.Warn().Str("event", "peer_crashed").Str("instance_id", string(incarnation)).Strs("contents", contentTexts(c.InFlight)).
+			Msg("backend server and its node ended while they ran requests of this node")
+		quarantined = append(quarantined, n.crashes.ObservePart(now, quarantine.Crash{Instance: incarnation}, c.InFlight)...)
+	}
+	n.logQuarantined(now, quarantined)
+	n.crashMu.Unlock()
+	if len(crashes) > 0 {
+		wake(n.crashObserved)
+	}
+	n.storeCrashes(quarantined...)
+}
+
+// contentTexts returns the first of the fingerprints for a log line.
+func contentTexts(contents []request.Fingerprint) []string {
+	texts := make([]string, 0, maxLoggedContents)
+	for _, f := range contents[:min(len(contents), maxLoggedContents)] {
+		texts = append(texts, f.String())
+	}
+	return texts
+}
+
 // wake makes the next receive from the channel succeed.
 func wake(c chan struct{}) {
 	select {
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -97,6 +97,7 @@
 	if n.ticks.number%ticksPerRemoteReport == 0 {
 		otherZones = 1
 	}
+	n.observePeerCrashes(known)
 	n.tellCrashes(1, otherZones)
 	n.retryBudgetMu.Lock()
 	retriesLeft := n.retryBudget.Remaining(now, entry.Service)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -98,6 +98,8 @@
 
 	crashMu sync.Mutex
 	crashes *quarantine.CrashLog
+	// peerLosses has the attempts of this node that other nodes did not survive.
+	peerLosses quarantine.PeerLosses
 	// unstored are the requests whose crashes are to be written to the store.
 	unstored map[request.Fingerprint]struct{}
 	// crashObserved wakes crashLoop, and crashUnstored wakes crashStoreLoop.
--- a/quarantine/crash_log.go
+++ b/quarantine/crash_log.go
@@ -108,6 +108,23 @@
 
 // Observe records a crash at which the given requests were in flight, and returns those that it puts in quarantine.
 func (l *CrashLog) Observe(now request.Instant, c Crash, inFlight []request.Fingerprint) []request.Fingerprint {
+	return l.observe(now, c, inFlight, 0)
+}
+
+// ObservePart records a crash of which only some of the requests in flight are known, and returns those that it puts in quarantine. It is most
+// likely due to a request only if that was in flight at an earlier crash as well. A crash of the same backend server that is known already is
+// not recorded again.
+func (l *CrashLog) ObservePart(now request.Instant, c Crash, inFlight []request.Fingerprint) []request.Fingerprint {
+	for _, known := range l.crashes {
+		if known.crash.Instance == c.Instance && now.Sub(known.at) < peerLossWindow {
+			return nil
+		}
+	}
+	return l.observe(now, c, inFlight, 1)
+}
+
+// observe records a crash that is most likely due to a request only if that was in flight at the given number of earlier crashes.
+func (l *CrashLog) observe(now request.Instant, c Crash, inFlight []request.Fingerprint, minCrashes int) []request.Fingerprint {
 	most, atMost := 0, 0
 	counts := make([]int, len(inFlight))
 	for i, f := range inFlight {
@@ -121,7 +138,7 @@
 	}
 	r := Report{Crash: c}
 	for i, f := range inFlight {
-		r.Requests = append(r.Requests, InFlight{Fingerprint: f, IsOnly: counts[i] == most && atMost == 1})
+		r.Requests = append(r.Requests, InFlight{Fingerprint: f, IsOnly: counts[i] == most && atMost == 1 && most >= minCrashes})
 	}
 	// Keeps the most likely suspects if there are too many.
 	slices.SortStableFunc(r.Requests, func(a, b InFlight) int {
