platform, mesh: one odd report does not hide a departure

A report of another writer with the sequence number 1e18 was accepted, after which all true reports were answered 200 and ignored as old, a departure among them; a start time of 1e300 did the same for later incarnations, and its conversion differs between processors. Evidence: mesh.TestDepartureAfterOddReport failed before (requests still run at the leaving server). The class of fault is a number that is taken from a text without asking whether its sender can mean it.

A sequence number that is possible and still too high cannot be told from a true one. A departure of the current incarnation, which its start time tells, is therefore honoured whatever its number; a late report is answered as before.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -382,6 +382,14 @@
 			Str("expected", b.address.String()).Msg("report refused: its address is not that of the local backend server; correct the address in the settings or at the backend server")
 		return false
 	}
+	if !n.isKnownService(r.Service) {
+		n.log.Warn().Str("event", "report_refused").Str("instance_id", string(r.Instance)).Str("service", string(r.Service)).
+			Msg("report refused: its service is neither that of the settings nor in the configuration")
+		return false
+	}
+	if r.State == StateLeaving && b.isCurrent(r) {
+		b.startLeaving("the backend server leaves") // whatever the sequence number: an incarnation that leaves does not come back
+	}
 	if !b.isNewerReport(r) {
 		n.log.Info().Str("event", "report_old").Str("instance_id", string(r.Instance)).Int64("sequence", r.Sequence).
 			Time("born", r.StartTime).Str("current", string(b.lastReport.Instance)).Msg("report ignored: it is from an older incarnation or its sequence number is not newer")
@@ -416,6 +424,21 @@
 	return true
 }
 
+// isCurrent reports whether r is certainly of the current incarnation, which takes a start time. The caller holds b.mu.
+func (b *backend) isCurrent(r Report) bool {
+	return r.Instance == b.lastReport.Instance && r.StartTime.Equal(b.lastReport.StartTime) && r.StartTime.UnixMilli() > 0
+}
+
+// isKnownService reports whether a backend server of the service may run beside the node.
+func (n *Node) isKnownService(s request.ServiceID) bool {
+	c := n.configuration.Load()
+	if c == nil || s == *n.service.Load() || s == n.settings.Service {
+		return true
+	}
+	_, ok := c.Services[s]
+	return ok
+}
+
 // isNewerReport reports whether r is newer than the latest report by start time and sequence number: reports can arrive out
 // of order.
 func (b *backend) isNewerReport(r Report) bool {
--- /dev/null
+++ b/mesh/report_test.go
@@ -0,0 +1,66 @@
+package mesh_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// sendReport sends a report to the control listener of a machine and returns the status.
+func (d *deployment) sendReport(m *machine, fields string) int {
+	d.c.Helper()
+	body := fmt.Sprintf(`{"service":"registry","address":%q,"slots":4,"cold_ms":0,"born":%d,%s}`,
+		m.settings.Backend, m.report.StartTime.UnixMilli(), fields)
+	url := "http://" + netip.AddrPortFrom(m.address, d.ports["control"]).String() + "/-/instances/" + m.instance
+	r, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
+	d.c.Assert(err, qt.IsNil)
+	response, err := http.DefaultClient.Do(r)
+	d.c.Assert(err, qt.IsNil)
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// TestDepartureAfterOddReport guards against a backend server that leaves and goes on getting requests, because a report of another writer had a
+// sequence number that its own reports do not reach.
+func TestDepartureAfterOddReport(t *testing.T) {
+	for name, sequence := range map[string]struct {
+		text   string
+		status int
+	}{
+		"impossible": {"1e18", http.StatusBadRequest}, "possible": {"4e15", http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+			d.logOnFailure(t)
+			a := d.start("registry", "a", 0)
+			d.start("registry", "a", 0)
+			d.waitUntilServing("/birds/1")
+			a.report.StartTime = time.UnixMilli(a.report.StartTime.UnixMilli() + 1)
+			d.c.Assert(d.sendReport(a, `"state":"ready","seq":2`), qt.Equals, http.StatusOK)
+			d.c.Check(d.sendReport(a, `"state":"ready","seq":`+sequence.text), qt.Equals, sequence.status)
+			d.c.Assert(d.sendReport(a, `"state":"draining","seq":3`), qt.Equals, http.StatusOK)
+			time.Sleep(a.settings.DrainTime)
+			before := len(a.runs())
+			for i := range 40 {
+				d.get(d.machines[i%2], "/birds/1", fmt.Sprint("later", i))
+			}
+			d.c.Check(len(a.runs())-before, qt.Equals, 0)
+		})
+	}
+}
+
+// TestReportOfUnknownService guards against a report of another writer that makes a node refuse the requests for its backend server.
+func TestReportOfUnknownService(t *testing.T) {
+	d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+	a := d.start("registry", "a", 0)
+	d.waitUntilServing("/birds/1")
+	odd := a.report
+	odd.Service, odd.Sequence = "nowhere", 7
+	d.c.Check(a.node.Report(odd), qt.IsFalse)
+	d.c.Check(d.get(a, "/birds/1", "id").status, qt.Equals, http.StatusOK)
+}
