--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"math"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sapphiretack/sapphiretack/request"
@@ -62,6 +64,23 @@
 	Rates                []Rate
 }
 
+// IsNodeAddress reports whether a node can have the address.
+func IsNodeAddress(a netip.Addr) bool {
+	return a.Is4() && !a.IsUnspecified() && !a.IsMulticast() && a != netip.AddrFrom4([4]byte{255, 255, 255, 255})
+}
+
+// isValid reports whether a node can mean the entry.
+func (e *Entry) isValid() bool {
+	return IsNodeAddress(e.Address) && e.Age >= 0 && e.ServiceTime >= 0 && areValid(e.Rates)
+}
+
+// areValid reports whether all rates are numbers of at least 0.
+func areValid(rates []Rate) bool {
+	return !slices.ContainsFunc(rates, func(r Rate) bool { return !isRate(r.PerSecond) })
+}
+
+func isRate(perSecond float32) bool { return perSecond >= 0 && perSecond <= math.MaxFloat32 }
+
 // isNewer reports whether e supersedes old.
 func (e *Entry) isNewer(old *Entry) bool {
 	if e.Incarnation != old.Incarnation {
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -123,7 +123,7 @@
 func (t *Table) MergeSummaries(now request.Instant, received []Summary) {
 	for i := range received {
 		s := &received[i]
-		if s.Zone == t.zone || s.Age < 0 || len(s.Servers) > MaxServers {
+		if s.Zone == t.zone || !s.isValid() {
 			continue
 		}
 		made := now.Add(-s.Age)
@@ -132,7 +132,7 @@
 		}
 		t.holdSummary(*s, made)
 		for _, server := range s.Servers {
-			if !server.Address.IsValid() || server.Address == t.self {
+			if server.Address == t.self {
 				continue
 			}
 			m := t.members[server.Address]
@@ -148,6 +148,13 @@
 	}
 }
 
+// isValid reports whether a node can mean the summary.
+func (s *Summary) isValid() bool {
+	return s.Age >= 0 && areValid(s.Rates) && len(s.Servers) <= MaxServers &&
+		!slices.ContainsFunc(s.Servers, func(r Server) bool { return !IsNodeAddress(r.Address) || r.ServiceTime < 0 }) &&
+		!slices.ContainsFunc(s.Speeds, func(r RouteSpeed) bool { return !isRate(r.PerSecond) || r.ServiceTime < 0 })
+}
+
 // isPartial reports whether a summary counts less than half of the nodes of the known one although that is recent. Its maker was
 // probably cut off from its zone.
 func isPartial(now request.Instant, s *Summary, known *heldSummary) bool {
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -146,7 +146,7 @@
 	}
 }
 
-// Merge adds received entries that are newer than the known ones. It returns the highest configuration version among the received
+// Merge adds received entries that are newer than the known ones, and leaves out those that no node can mean. It returns the highest configuration version among the received
 // entries, or 0 if there is none, and the address of a node that has it.
 func (t *Table) Merge(now request.Instant, entries []Entry) (routing.Version, netip.Addr) {
 	var newest routing.Version
@@ -156,7 +156,7 @@
 	}
 	for i := range entries {
 		e := &entries[i]
-		if !e.Address.IsValid() || e.Age < 0 {
+		if !e.isValid() {
 			continue
 		}
 		if e.Address == t.self {
--- a/tree/cost.go
+++ b/tree/cost.go
@@ -44,12 +44,15 @@
 	return b.String()
 }
 
-// DecodeCost parses an encoded cost; it skips malformed pairs, since a cost is only an estimate.
+// maxCost is the longest service time that a request can need at one service.
+const maxCost = time.Hour
+
+// DecodeCost parses an encoded cost; it skips malformed and impossible pairs, since a cost is only an estimate.
 func DecodeCost(text string) Cost {
 	c := Cost{}
 	for pair := range strings.SplitSeq(text, ",") {
 		service, value, _ := strings.Cut(pair, "=")
-		if units, err := strconv.ParseInt(value, 10, 32); err == nil && units >= 0 {
+		if units, err := strconv.ParseInt(value, 10, 32); err == nil && units >= 0 && time.Duration(units)*costUnit <= maxCost {
 			c[request.ServiceID(service)] += time.Duration(units) * costUnit
 		}
 	}
