session, store: a key that may have run before the store came back from a copy is not granted again

An effect ran twice: the claim of its idempotency key was among what the store lost, so that a resend to another node found no row and was granted. The class of fault is a proof by absence: a missing row shows that nobody has claimed a key only as long as the store loses nothing.

store.Table tells the era that its responses show. For an hour after a later one, a claim whose caller does not declare that it is the first send gets the outcome unknown, be it queued or committed already; a row that was written is deleted again. First sends run as before. Remaining: a node that starts within that hour does not know of the restore.

--- a/node/claims.go
+++ b/node/claims.go
@@ -61,12 +61,12 @@
 	case session.CommitClaims:
 		c.runAsync(func(ctx context.Context) {
 			err := c.table.Commit(ctx, a.Transaction)
-			c.handle(session.ClaimCommitted{Batch: a.Batch, Err: err})
+			c.handle(session.ClaimCommitted{Batch: a.Batch, Era: c.table.Era(), Err: err})
 		})
 	case session.ReadClaims:
 		c.runAsync(func(ctx context.Context) {
 			rows, err := c.table.Read(ctx, a.Keys)
-			c.handle(session.ClaimRead{Batch: a.Batch, Rows: rows, Err: err})
+			c.handle(session.ClaimRead{Batch: a.Batch, Era: c.table.Era(), Rows: rows, Err: err})
 		})
 	case session.ResolveClaim:
 		if resolved, ok := c.waiters[a.Waiter]; ok {
--- a/session/claim.go
+++ b/session/claim.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"math/rand/v2"
+	"time"
 
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/store"
@@ -22,6 +23,9 @@
 	MaxBatch    int // maximum claims in one transaction
 	MaxQueue    int // maximum claims that wait for a transaction
 	MaxAttempts int // maximum transactions for one claim
+	// RestoreDoubt is the time after the store came back from a copy in which a key that was sent before is not granted, because the
+	// copy may lack the claim under which it ran. A zero selects the default.
+	RestoreDoubt time.Duration
 }
 
 // The default limits. The platform accepts only several hundred writes per second, so claims that arrive while a
@@ -30,6 +34,7 @@
 	defaultClaimBatch    = 64
 	defaultClaimQueue    = 1024
 	defaultClaimAttempts = 4
+	defaultRestoreDoubt  = time.Hour
 )
 
 // Claim requests the exclusive right to run the effect of an idempotency key.
@@ -54,7 +59,8 @@
 // ClaimEvent is an input of Claims.Handle.
 type ClaimEvent interface{ claimEvent() }
 
-// The events. ClaimCommitted and ClaimRead report the results of the actions with the same batch number.
+// The events. ClaimCommitted and ClaimRead report the results of the actions with the same batch number, and the latest era of the store that
+// is known then.
 type (
 	// ClaimRequested submits a claim.
 	ClaimRequested struct{ Claim Claim }
@@ -71,11 +77,13 @@
 	// ClaimCommitted reports the result of CommitClaims.
 	ClaimCommitted struct {
 		Batch uint64
+		Era   store.Era
 		Err   error
 	}
 	// ClaimRead reports the result of ReadClaims.
 	ClaimRead struct {
 		Batch uint64
+		Era   store.Era
 		Rows  []store.Row
 		Err   error
 	}
@@ -147,6 +155,8 @@
 	inFlight        []*claimEntry // the batch in flight
 	inFlightDeletes bool          // whether the batch in flight deletes rows
 	batch           uint64        // number of the batch in flight, or of the last one
+	era             store.Era
+	doubtUntil      request.Instant // until when the table may lack claims of keys that ran
 }
 
 // NewClaims returns Claims with an empty queue; random generates the nonces.
@@ -160,6 +170,9 @@
 	if s.MaxAttempts == 0 {
 		s.MaxAttempts = defaultClaimAttempts
 	}
+	if s.RestoreDoubt == 0 {
+		s.RestoreDoubt = defaultRestoreDoubt
+	}
 	return &Claims{settings: s, random: random, entries: map[store.Key]*claimEntry{}}
 }
 
@@ -201,6 +214,19 @@
 	return r
 }
 
+// observeEra records the era of the store. In a later one than before, claims that were acknowledged may be missing.
+func (c *Claims) observeEra(now request.Instant, era store.Era) {
+	if c.era != 0 && era > c.era {
+		c.doubtUntil = now.Add(c.settings.RestoreDoubt)
+	}
+	c.era = max(c.era, era)
+}
+
+// isDoubtful reports whether the effect of a claim may have run although the table has no other claim of its key.
+func (c *Claims) isDoubtful(now request.Instant, claim *Claim) bool {
+	return !claim.FirstSend && now < c.doubtUntil
+}
+
 // refuseKeyClaimed returns the result of a claim whose key is held by another claim.
 func refuseKeyClaimed(claim *Claim) ResolveClaim {
 	return ResolveClaim{Waiter: claim.Waiter, Outcome: request.Unknown, Reason: request.KeyClaimed}
--- a/session/claim_command.go
+++ b/session/claim_command.go
@@ -11,16 +11,18 @@
 func (c *Claims) Handle(now request.Instant, e ClaimEvent, out []ClaimAction) []ClaimAction {
 	switch e := e.(type) {
 	case ClaimRequested:
-		out = c.addClaim(e.Claim, out)
+		out = c.addClaim(now, e.Claim, out)
 	case ClaimReleased:
 		c.release(claimKey(e.Customer, e.Key))
 	case ClaimFinished:
 		c.finish(claimKey(e.Customer, e.Key))
 	case ClaimCommitted:
+		c.observeEra(now, e.Era)
 		if e.Batch == c.batch && len(c.inFlight) > 0 {
-			out = c.handleCommitted(e.Err, out)
+			out = c.handleCommitted(now, e.Err, out)
 		}
 	case ClaimRead:
+		c.observeEra(now, e.Era)
 		if e.Batch == c.batch && len(c.inFlight) > 0 {
 			out = c.handleRead(now, e, out)
 		}
@@ -28,11 +30,14 @@
 	return c.startBatch(now, out)
 }
 
-func (c *Claims) addClaim(claim Claim, out []ClaimAction) []ClaimAction {
+func (c *Claims) addClaim(now request.Instant, claim Claim, out []ClaimAction) []ClaimAction {
 	key := claimKey(claim.Customer, claim.Key)
 	if e := c.entries[key]; e != nil {
 		return c.addDuplicate(e, claim, out)
 	}
+	if c.isDoubtful(now, &claim) {
+		return append(out, refuseClaim(&claim, request.PlatformDown))
+	}
 	if len(c.queue) >= c.settings.MaxQueue {
 		return append(out, refuseClaim(&claim, request.LimitReached))
 	}
@@ -57,6 +62,17 @@
 	return append(out, refuseKeyClaimed(&claim))
 }
 
+// decide grants a claim whose row is in the table, unless the store has come back from a copy meanwhile and the effect may have run. The row
+// is then deleted again.
+func (c *Claims) decide(now request.Instant, e *claimEntry) ResolveClaim {
+	if !c.isDoubtful(now, &e.claim) {
+		return c.grant(e)
+	}
+	e.state = claimGranted
+	c.release(e.key)
+	return refuseClaim(&e.claim, request.PlatformDown)
+}
+
 func (c *Claims) grant(e *claimEntry) ResolveClaim {
 	e.state = claimGranted
 	return ResolveClaim{Waiter: e.claim.Waiter, Granted: true, Effect: KeyEffect(e.claim.Customer, e.claim.Key)}
@@ -153,14 +169,14 @@
 	return CommitClaims{Batch: c.batch, Transaction: t}
 }
 
-func (c *Claims) handleCommitted(err error, out []ClaimAction) []ClaimAction {
+func (c *Claims) handleCommitted(now request.Instant, err error, out []ClaimAction) []ClaimAction {
 	if c.inFlightDeletes {
-		return c.handleDeleted(err, out)
+		return c.handleDeleted(now, err, out)
 	}
 	switch {
 	case err == nil:
 		for _, e := range c.endBatch() {
-			out = append(out, c.grant(e))
+			out = append(out, c.decide(now, e))
 		}
 		return out
 	case store.ConditionFailed.Has(err), store.Indeterminate.Has(err):
@@ -190,7 +206,7 @@
 		r.Err = store.Unavailable.New("the read returned %d rows for %d keys", len(r.Rows), len(c.inFlight))
 	}
 	if c.inFlightDeletes {
-		return c.handleReadForDelete(r, out)
+		return c.handleReadForDelete(now, r, out)
 	}
 	if r.Err != nil {
 		return c.retryRead(now, out)
@@ -200,7 +216,7 @@
 		case row.Revision == 0:
 			c.queue = append(c.queue, e) // not applied, or not applied yet: commit again with the same nonce
 		case c.isOwnRow(e, row):
-			out = append(out, c.grant(e))
+			out = append(out, c.decide(now, e))
 		default:
 			delete(c.entries, e.key)
 			out = append(out, refuseKeyClaimed(&e.claim))
@@ -228,16 +244,16 @@
 }
 
 // handleReadForDelete records the revisions of the rows to delete. A row with another nonce is not deleted.
-func (c *Claims) handleReadForDelete(r ClaimRead, out []ClaimAction) []ClaimAction {
+func (c *Claims) handleReadForDelete(now request.Instant, r ClaimRead, out []ClaimAction) []ClaimAction {
 	if r.Err != nil {
-		return c.retryDelete(out)
+		return c.retryDelete(now, out)
 	}
 	for i, e := range c.endBatch() {
 		if row := r.Rows[i]; row.Revision != 0 && c.isOwnRow(e, row) {
 			e.revision = row.Revision
 			c.inFlight = append(c.inFlight, e)
 		} else {
-			out = c.finishRelease(e, row.Revision == 0, out)
+			out = c.finishRelease(now, e, row.Revision == 0, out)
 		}
 	}
 	if len(c.inFlight) > 0 {
@@ -246,24 +262,24 @@
 	return out
 }
 
-func (c *Claims) handleDeleted(err error, out []ClaimAction) []ClaimAction {
+func (c *Claims) handleDeleted(now request.Instant, err error, out []ClaimAction) []ClaimAction {
 	if err != nil {
-		return c.retryDelete(out)
+		return c.retryDelete(now, out)
 	}
 	for _, e := range c.endBatch() {
-		out = c.finishRelease(e, true, out)
+		out = c.finishRelease(now, e, true, out)
 	}
 	return out
 }
 
 // retryDelete retries the read and the deletion, up to the limit on attempts. If the row remains, later sends get unknown.
-func (c *Claims) retryDelete(out []ClaimAction) []ClaimAction {
+func (c *Claims) retryDelete(now request.Instant, out []ClaimAction) []ClaimAction {
 	for _, e := range c.endBatch() {
 		e.attempts++
 		if e.attempts < c.settings.MaxAttempts {
 			c.inFlight = append(c.inFlight, e)
 		} else {
-			out = c.finishRelease(e, false, out)
+			out = c.finishRelease(now, e, false, out)
 		}
 	}
 	if len(c.inFlight) > 0 {
@@ -274,13 +290,13 @@
 
 // finishRelease ends a release. A deferred resend claims the key again only if the row is gone; otherwise a delayed deletion
 // could remove the new row while the resend runs.
-func (c *Claims) finishRelease(e *claimEntry, gone bool, out []ClaimAction) []ClaimAction {
+func (c *Claims) finishRelease(now request.Instant, e *claimEntry, gone bool, out []ClaimAction) []ClaimAction {
 	delete(c.entries, e.key)
 	switch {
 	case e.deferred == nil:
 		return out
 	case gone:
-		return c.addClaim(*e.deferred, out)
+		return c.addClaim(now, *e.deferred, out)
 	}
 	return append(out, refuseClaim(e.deferred, request.PlatformDown))
 }
--- a/session/claim_test.go
+++ b/session/claim_test.go
@@ -79,11 +79,11 @@
 	case session.CommitClaims:
 		err := w.fake.Commit(context.Background(), a.Transaction)
 		fmt.Fprintf(&w.log, "%s commit %d: %v\n", n.name, len(a.Transaction.Writes), className(err))
-		w.handle(n, session.ClaimCommitted{Batch: a.Batch, Err: err})
+		w.handle(n, session.ClaimCommitted{Batch: a.Batch, Era: w.fake.Era(), Err: err})
 	case session.ReadClaims:
 		rows, err := w.fake.Read(context.Background(), a.Keys)
 		fmt.Fprintf(&w.log, "%s read %d: %v\n", n.name, len(a.Keys), className(err))
-		w.handle(n, session.ClaimRead{Batch: a.Batch, Rows: rows, Err: err})
+		w.handle(n, session.ClaimRead{Batch: a.Batch, Era: w.fake.Era(), Rows: rows, Err: err})
 	}
 	return true
 }
@@ -144,6 +144,12 @@
 				w.fake.SaveStaleState()
 			case "deliver":
 				w.fake.ApplyDelayed()
+			case "copy":
+				w.fake.SaveCopy()
+			case "restore":
+				w.fake.Restore()
+			case "hour":
+				w.now = w.now.Add(time.Hour)
 			case "advance":
 				w.now = w.now.Add(3 * time.Second)
 			case "rows":
--- a/store/fake.go
+++ b/store/fake.go
@@ -48,6 +48,7 @@
 	current      state
 	stale        state
 	saved        copyState
+	era          Era
 	hook         FaultHook
 	delayed      []func() error
 }
@@ -67,7 +68,7 @@
 
 // NewFake returns an empty Fake without faults.
 func NewFake() *Fake {
-	f := &Fake{current: state{rows: map[Key]Row{}, objects: map[string][]byte{}}}
+	f := &Fake{era: 1, current: state{rows: map[Key]Row{}, objects: map[string][]byte{}}}
 	f.stale = f.current.clone()
 	f.saved = copyState{state: f.current.clone()}
 	return f
@@ -94,11 +95,20 @@
 	f.saved = copyState{f.current.clone(), f.lastRevision}
 }
 
-// Restore returns to the saved copy; the revisions of the transactions since are used again. Delayed operations stay delayed.
+// Restore returns to the saved copy and begins the next era; the revisions of the transactions since are used again. Delayed operations stay
+// delayed.
 func (f *Fake) Restore() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.current, f.lastRevision = f.saved.state.clone(), f.saved.revision
+	f.era++
+}
+
+// Era implements Table.
+func (f *Fake) Era() Era {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
 }
 
 // ApplyDelayed applies the delayed operations in the order of their calls.
--- a/store/table.go
+++ b/store/table.go
@@ -80,6 +80,8 @@
 	Scan(ctx context.Context, prefix, after Key, limit int) ([]Row, error)
 	// Commit applies the transaction; the class of the error tells whether it was applied.
 	Commit(ctx context.Context, t Transaction) error
+	// Era returns the latest era that a response has shown.
+	Era() Era
 }
 
 // Objects is the object store.
