session: a batch of claims fits into one transaction of the platform

With more than 50 claims waiting at a node, all of a batch were refused: the batch of 64 makes 128 conditions and writes, and the platform takes 100. Found by reading for the conditions of claims. Evidence: platform.TestClaimBatches, 200 claims and their releases with the default settings, failed before ("the transaction has 128 conditions and writes").

--- a/session/claim.go
+++ b/session/claim.go
@@ -31,7 +31,7 @@
 // The default limits. The platform accepts only several hundred writes per second, so claims that arrive while a
 // transaction is in flight are batched into the next one.
 const (
-	defaultClaimBatch    = 64
+	defaultClaimBatch    = 25
 	defaultClaimQueue    = 1024
 	defaultClaimAttempts = 4
 	defaultRestoreDoubt  = time.Hour
