--- a/configuration/row.go
+++ b/configuration/row.go
@@ -59,7 +59,7 @@
 
 // decode decodes a row's value into v; a missing row leaves v unchanged. The error is of class Unavailable.
 func decode(row store.Row, v any) error {
-	if row.Revision == 0 {
+	if !row.Revision.Exists() {
 		return nil
 	}
 	if err := json.Unmarshal(row.Value, v); err != nil {
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -107,7 +107,7 @@
 		}
 	}
 	p := plan{}
-	if rows[2].Revision != 0 {
+	if rows[2].Revision.Exists() {
 		return planForUsedID(c, &earlier), nil
 	}
 	p.addConditions(rows...)
@@ -257,7 +257,7 @@
 	if err := decode(rows[0], &oldest); err != nil {
 		return err
 	}
-	if rows[0].Revision != 0 {
+	if rows[0].Revision.Exists() {
 		p.addConditions(rows...)
 		p.writes = append(p.writes,
 			store.Write{Key: rows[0].Key, Delete: true},
--- a/session/claim_command.go
+++ b/session/claim_command.go
@@ -213,7 +213,7 @@
 	}
 	for i, e := range c.endBatch() {
 		switch row := r.Rows[i]; {
-		case row.Revision == 0:
+		case !row.Revision.Exists():
 			c.queue = append(c.queue, e) // not applied, or not applied yet: commit again with the same nonce
 		case c.isOwnRow(e, row):
 			out = append(out, c.decide(now, e))
@@ -249,11 +249,11 @@
 		return c.retryDelete(now, out)
 	}
 	for i, e := range c.endBatch() {
-		if row := r.Rows[i]; row.Revision != 0 && c.isOwnRow(e, row) {
+		if row := r.Rows[i]; row.Revision.Exists() && c.isOwnRow(e, row) {
 			e.revision = row.Revision
 			c.inFlight = append(c.inFlight, e)
 		} else {
-			out = c.finishRelease(now, e, row.Revision == 0, out)
+			out = c.finishRelease(now, e, !row.Revision.Exists(), out)
 		}
 	}
 	if len(c.inFlight) > 0 {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -75,17 +75,17 @@
 // platformChange is an entry of the change feed: a row that was set or removed.
 type platformChange struct {
 	row     platformRow
-	version store.Revision
+	version uint64
 }
 
 // platformRow is the wire format of a row.
 type platformRow struct {
-	Table   string         `json:"table"`
-	Part    string         `json:"part"`
-	Key     string         `json:"key"`
-	Value   []byte         `json:"value,omitempty"`
-	Version store.Revision `json:"ver"`
-	Deleted bool           `json:"deleted,omitempty"`
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"ver"`
+	Deleted bool   `json:"deleted,omitempty"`
 }
 
 // platformTransaction is the request body of a transaction.
@@ -98,11 +98,11 @@
 
 // platformPage is the response to requests for rows and to transactions.
 type platformPage struct {
-	Rows    []platformRow  `json:"rows"`
-	More    bool           `json:"has_more"`
-	Version store.Revision `json:"ver"`
-	NowMs   int64          `json:"now_ms"`
-	era     uint64         // of the rows
+	Rows    []platformRow `json:"rows"`
+	More    bool          `json:"has_more"`
+	Version uint64        `json:"ver"`
+	NowMs   int64         `json:"now_ms"`
+	era     uint64        // of the rows
 }
 
 const (
@@ -282,7 +282,7 @@
 				return writePlatformPage(w, page)
 			}
 			size += len(found.Value)
-			page.Rows = append(page.Rows, platformRow{Table: base.Table, Part: base.Part, Key: key, Value: found.Value, Version: found.Revision})
+			page.Rows = append(page.Rows, platformRow{Table: base.Table, Part: base.Part, Key: key, Value: found.Value, Version: found.Revision.Number})
 		}
 		if len(rows) == 0 {
 			return writePlatformPage(w, page)
@@ -307,7 +307,7 @@
 	}
 	var transaction store.Transaction
 	for _, c := range request.Conditions {
-		transaction.Conditions = append(transaction.Conditions, store.Condition{Key: c.key(), Revision: c.Version})
+		transaction.Conditions = append(transaction.Conditions, store.Condition{Key: c.key(), Revision: store.Revision{Number: c.Version}})
 	}
 	for _, set := range request.Set {
 		transaction.Writes = append(transaction.Writes, store.Write{Key: set.key(), Value: set.Value})
@@ -343,7 +343,7 @@
 }
 
 // record adds a transaction to the change feed and wakes the requests that wait for changes; the caller holds commitMu.
-func (p *Platform) record(t platformTransaction, version store.Revision) {
+func (p *Platform) record(t platformTransaction, version uint64) {
 	for _, set := range t.Set {
 		set.Version = version
 		p.changes = append(p.changes, platformChange{set, version})
@@ -374,8 +374,8 @@
 		if fault := p.fault(r.Context(), store.ReadOperation); fault != store.NoFault && fault != store.StaleRead {
 			return store.Unavailable.New("the platform is down")
 		}
-		page, changed := p.changesAfter(query.Get("table"), store.Revision(after))
-		if store.Revision(after) > page.Version {
+		page, changed := p.changesAfter(query.Get("table"), after)
+		if after > page.Version {
 			return errHistoryLost
 		}
 		if len(page.Rows) > 0 {
@@ -391,7 +391,7 @@
 	}
 }
 
-func (p *Platform) changesAfter(table string, after store.Revision) (platformPage, <-chan struct{}) {
+func (p *Platform) changesAfter(table string, after uint64) (platformPage, <-chan struct{}) {
 	p.commitMu.Lock()
 	defer p.commitMu.Unlock()
 	page := platformPage{Rows: []platformRow{}, Version: p.fake.LastRevision(), NowMs: time.Now().UnixMilli(), era: p.era.Load()}
--- a/store/fake.go
+++ b/store/fake.go
@@ -44,7 +44,8 @@
 // Fake is an in-memory Table and Objects with fault injection; it is deterministic and safe for concurrent use.
 type Fake struct {
 	mu           sync.Mutex
-	lastRevision Revision
+	lastRevision uint64
+	lastWrite    uint64
 	current      state
 	stale        state
 	saved        copyState
@@ -63,7 +64,7 @@
 // copyState is a copy of the state, and the revision that it is from.
 type copyState struct {
 	state
-	revision Revision
+	revision uint64
 }
 
 // NewFake returns an empty Fake without faults.
@@ -121,8 +122,8 @@
 	f.delayed = nil
 }
 
-// LastRevision returns the revision of the latest transaction.
-func (f *Fake) LastRevision() Revision {
+// LastRevision returns the number of the latest transaction.
+func (f *Fake) LastRevision() uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.lastRevision
@@ -255,8 +256,8 @@
 
 func (f *Fake) apply(t Transaction) error {
 	for _, c := range t.Conditions {
-		if got := f.current.rows[c.Key].Revision; got != c.Revision {
-			return ConditionFailed.New("row %q has revision %d, not %d; read it again", c.Key, got, c.Revision)
+		if got := f.current.rows[c.Key].Revision; !got.meets(c.Revision) {
+			return ConditionFailed.New("row %q has revision %v, not %v; read it again", c.Key, got, c.Revision)
 		}
 	}
 	if len(t.Writes) == 0 {
@@ -264,7 +265,8 @@
 	}
 	f.lastRevision++
 	for _, w := range t.Writes {
-		f.current.write(w, f.lastRevision)
+		f.lastWrite++
+		f.current.write(w, Revision{f.lastRevision, f.lastWrite})
 	}
 	return nil
 }
--- a/store/table.go
+++ b/store/table.go
@@ -38,9 +38,22 @@
 // Key is the key of a row; keys are ordered bytewise.
 type Key string
 
-// Revision is the number of a transaction of the table, from 1. A row has the revision of the transaction that wrote it; a
-// missing row has revision 0.
-type Revision uint64
+// Revision identifies the content of a row; a missing row has the zero Revision.
+type Revision struct {
+	// Number is the number of the transaction that wrote the row, from 1.
+	Number uint64 `json:"number"`
+	// Write tells apart writes that got the same number, as a store gives it out again that came back from a copy. It is 0 if it is not
+	// known; a condition then requires the number only.
+	Write uint64 `json:"write,omitempty"`
+}
+
+// Exists reports whether a row with the revision exists.
+func (r Revision) Exists() bool { return r.Number != 0 }
+
+// meets reports whether a row of the revision meets a condition.
+func (r Revision) meets(required Revision) bool {
+	return r.Number == required.Number && (required.Write == 0 || r.Write == required.Write)
+}
 
 // Row is a row of the table as read.
 type Row struct {
