configuration, node: accepted changes that a restored store lacks are written back

Operators' accepted changes were lost in silence: after the store came back from a copy, the next change got the version of a lost one, so that nodes which had that one never took it over, nodes that started later never got the lost one, and both believed to be at the same version.

A node that polls the store and finds it behind its replica writes the newer objects with their versions, the log and the counts of uses, each transaction on condition that the head row has not changed, so that of several nodes one writes. Changes are refused for 5 s from the era that shows the restore (unavailable: nothing was changed), in which the readers of each zone poll several times.

Remaining: a change through a node that starts within those 5 s and has not seen the era before; identifiers of changes that are lost, so that a change that is committed again gets a conflict in place of its result; a change that no node had polled before the store went away.

--- a/configuration/read.go
+++ b/configuration/read.go
@@ -40,6 +40,7 @@
 	if err != nil {
 		return Update{}, err
 	}
+	s.restores.isWritingBack(s.now(), s.table.Era())
 	if head.Version <= since {
 		return Update{Version: head.Version}, nil
 	}
--- a/configuration/store.go
+++ b/configuration/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/zeebo/errs"
 
@@ -18,6 +19,8 @@
 type Store struct {
 	table     store.Table
 	logLength Version // number of changes that the log keeps
+	restores  restoreWatch
+	now       func() time.Time
 }
 
 // New returns a Store on the table with a log of DefaultLogLength.
@@ -26,7 +29,7 @@
 // NewWithLogLength returns a Store that keeps the given number of changes in the log. All Stores on a table must use the same
 // number.
 func NewWithLogLength(table store.Table, length int) *Store {
-	return &Store{table: table, logLength: Version(length)}
+	return &Store{table: table, logLength: Version(length), now: time.Now}
 }
 
 // Commit applies the change in one transaction and returns the changed object. Committing the same Change again returns the
@@ -98,6 +101,9 @@
 	if err != nil {
 		return plan{}, err
 	}
+	if s.restores.isWritingBack(s.now(), s.table.Era()) {
+		return plan{}, Unavailable.New("the store has come back from a copy, and accepted changes that it lacks are being written again")
+	}
 	var head headRow
 	var current Object
 	var earlier changeRow
--- a/node/configure.go
+++ b/node/configure.go
@@ -207,6 +207,14 @@
 	if err != nil {
 		return err
 	}
+	if u.Version < n.replica.Version() {
+		written, err := n.store.WriteBack(ctx, n.replica)
+		if written > 0 || err != nil {
+			n.log.Warn().Err(err).Int("objects", written).Uint64("version", uint64(n.replica.Version())).
+				Msg("the store lacks accepted changes of the configuration; writing them again")
+		}
+		return err
+	}
 	return n.replica.Apply(u.Version, u.Objects, u.Snapshot)
 }
 
