--- a/session/claim_test.go
+++ b/session/claim_test.go
@@ -214,3 +214,20 @@
 	}
 	qt.Assert(t, slices.Min([]int{granted, resolved - granted}) > 300, qt.IsTrue, qt.Commentf("granted %d of %d", granted, resolved))
 }
+
+// TestClaimsOfStartedNodeAfterRestore guards against a key that is granted twice because the second node started after the store came back from
+// a copy that lacks the first claim, and has not seen an earlier era.
+func TestClaimsOfStartedNodeAfterRestore(t *testing.T) {
+	w := newClaimWorld(t)
+	w.fake.SaveCopy()
+	w.claim(w.nodes["n1"], "a", 1, true)
+	w.step(w.nodes["n1"], store.NoFault)
+	qt.Assert(t, w.owners["a"], qt.Equals, "n1")
+	w.fake.Restore()
+	started := &claimNode{
+		name: "n3", keys: map[session.Waiter]string{},
+		claims: session.NewClaims(session.ClaimSettings{Instance: "n3", Incarnation: 3}, rand.New(rand.NewPCG(3, 1))),
+	}
+	w.claim(started, "a", 2, false)
+	w.step(started, store.NoFault)
+}
