--- a/node/configure.go
+++ b/node/configure.go
@@ -18,7 +18,7 @@
 	memberPrefix = "member/"
 	// joinDelay leaves time for the first exchange with the seeds; it is two ticks of the membership.
 	joinDelay = 400 * time.Millisecond
-	// joinRetryInterval is the time between two attempts to write the row while the platform is down.
+	// joinRetryInterval is the time between two attempts to write the row while the platform is down, and between checks of its era.
 	joinRetryInterval = 5 * time.Second
 )
 
@@ -33,7 +33,8 @@
 	Slots       uint32              `json:"slots"`
 }
 
-// join finds the members through the seeds and the rows in the platform, and writes this instance's row once.
+// join finds the members through the seeds and the rows in the platform, and writes this instance's row once in each era of the store, which
+// may have lost it when it came back from a copy.
 func (n *Node) join(ctx context.Context) error {
 	seeds := make([]member.Member, 0, len(n.settings.Seeds))
 	for _, s := range n.settings.Seeds {
@@ -47,18 +48,17 @@
 	request.Sleep(ctx, joinDelay)
 	n.seedsContacted.Store(true)
 	n.updateMembers()
-	for {
-		err := n.withPlatformTimeout(ctx, n.syncMemberRows)
-		if err == nil {
-			break
+	isWritten, era := false, store.Era(0)
+	for ; ctx.Err() == nil; request.Sleep(ctx, joinRetryInterval) {
+		if isWritten && n.table.Era() == era {
+			continue
 		}
-		n.log.Warn().Err(err).Msg("cannot write or read the member rows in the platform's table; retrying, and finding members through seeds and gossip until then")
-		request.Sleep(ctx, joinRetryInterval)
-		if ctx.Err() != nil {
-			return nil
+		if err := n.withPlatformTimeout(ctx, n.syncMemberRows); err != nil {
+			n.log.Warn().Err(err).Msg("cannot write or read the member rows in the platform's table; retrying, and finding members through seeds and gossip until then")
+			continue
 		}
+		isWritten, era = true, n.table.Era()
 	}
-	<-ctx.Done()
 	return nil
 }
 
