--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -81,5 +81,5 @@
 			c.Check(s.At < 8*time.Second, qt.IsTrue)
 		}
 	}
-	c.Check(kinds, qt.HasLen, 13)
+	c.Check(kinds, qt.HasLen, 14)
 }
