session, node: a node that starts after a restore does not grant keys that may have run

The driver reads that from a row with the era and the time at which a node noticed it, and writes the row when the era is another one than in the row, since the copy has that of an earlier era. A node refuses such sends for some milliseconds after its start, or while the platform is down, as before.

--- a/faultmatrix/world.go
+++ b/faultmatrix/world.go
@@ -301,6 +301,7 @@
 	n.table = route.New(route.DefaultSettings(id, zone, "region"), random)
 	n.sessions = session.New(session.Settings{Instance: id, Incarnation: n.incarnation}, random)
 	n.claims = session.NewClaims(session.ClaimSettings{Instance: id, Incarnation: n.incarnation}, random)
+	n.claims.Handle(n.sim.now, session.ClaimHistory{}, nil)
 	n.poller = configuration.NewPoller(configuration.PollSettings{Instance: id, Zone: zone}, sim.now, random)
 	n.membership = member.New(n.self(), member.DefaultSettings(), random)
 	sim.processes = append(sim.processes, n)
--- a/node/claims.go
+++ b/node/claims.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
+	"time"
 
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/session"
@@ -20,6 +22,83 @@
 	lastWaiter   session.Waiter
 }
 
+const (
+	// restoreKey is the key of the row that tells when the store last came back from a copy.
+	restoreKey store.Key = "restore"
+	// historyInterval is the time between reads of that row while the platform is down, and between checks of the era.
+	historyInterval = time.Second
+)
+
+// restoreRow is the value of the row with restoreKey.
+type restoreRow struct {
+	Era store.Era `json:"era"`
+	// RestoredAtMs is the time in Unix milliseconds at which a node noticed that this era began, or 0 if it is the first one known.
+	RestoredAtMs int64 `json:"restored_at_ms"`
+}
+
+// history returns what a row tells in an era of the store, and the row to write in its place. A row of another era, which the copy had, shows
+// that the store has come back from it.
+func (r restoreRow) history(hasRow bool, era store.Era, now time.Time) (session.ClaimHistory, restoreRow) {
+	next := r
+	if !hasRow || r.Era != era {
+		next = restoreRow{Era: era}
+		if hasRow {
+			next.RestoredAtMs = now.UnixMilli()
+		}
+	}
+	return session.ClaimHistory{IsRestored: next.RestoredAtMs != 0, Ago: max(0, now.Sub(time.UnixMilli(next.RestoredAtMs)))}, next
+}
+
+// learnHistory reads in each era of the store when that came back from a copy, and keeps it for nodes that start later.
+func (c *claims) learnHistory(ctx context.Context) error {
+	isLearned, era := false, store.Era(0)
+	for ; ctx.Err() == nil; request.Sleep(ctx, historyInterval) {
+		if isLearned && c.table.Era() == era {
+			continue
+		}
+		var found store.Era
+		err := c.node.withPlatformTimeout(ctx, func(ctx context.Context) (err error) {
+			found, err = c.readHistory(ctx)
+			return err
+		})
+		if err != nil {
+			c.node.log.Debug().Err(err).Msg("cannot read when the store came back from a copy; keys that were sent before are not granted until then")
+			continue
+		}
+		isLearned, era = true, found
+	}
+	return nil
+}
+
+func (c *claims) readHistory(ctx context.Context) (store.Era, error) {
+	rows, err := c.table.Read(ctx, []store.Key{restoreKey})
+	if err != nil {
+		return 0, err
+	}
+	era := c.table.Era()
+	var r restoreRow
+	if rows[0].Revision.Exists() {
+		if err := json.Unmarshal(rows[0].Value, &r); err != nil {
+			return 0, Error.Wrap(err)
+		}
+	}
+	history, next := r.history(rows[0].Revision.Exists(), era, time.Now())
+	if next != r {
+		value, err := json.Marshal(next)
+		if err != nil {
+			return 0, Error.Wrap(err)
+		}
+		err = c.table.Commit(ctx, store.Transaction{
+			Conditions: []store.Condition{{Key: restoreKey, Revision: rows[0].Revision}}, Writes: []store.Write{{Key: restoreKey, Value: value}},
+		})
+		if err != nil {
+			return 0, err // another node writes the row, or the next read shows that this one was written
+		}
+	}
+	c.handle(history)
+	return era, nil
+}
+
 // acquire claims a key and returns the result.
 func (c *claims) acquire(ctx context.Context, claim session.Claim) (session.ResolveClaim, error) {
 	resolved := make(chan session.ResolveClaim, 1)
--- a/node/run.go
+++ b/node/run.go
@@ -42,7 +42,7 @@
 	n.addServer(&group, listeners.operator, n.operatorHandler(), n.tlsCredentials.operator)
 	n.addPeerServer(&group, listeners.peer)
 	for _, work := range []func(context.Context) error{
-		n.workers.run, n.membership.run, n.destination.health.watch, n.runTicks, n.poller.run, n.join, n.watchCertificates,
+		n.workers.run, n.membership.run, n.destination.health.watch, n.runTicks, n.poller.run, n.join, n.claims.learnHistory, n.watchCertificates,
 	} {
 		ctx, cancel := context.WithCancel(control)
 		group.Add(func() error { return work(ctx) }, func(error) { cancel() })
--- a/session/claim.go
+++ b/session/claim.go
@@ -80,6 +80,12 @@
 		Era   store.Era
 		Err   error
 	}
+	// ClaimHistory reports whether the store came back from a copy before this node knew its era, and how long ago. Until it is reported,
+	// keys that were sent before are not granted.
+	ClaimHistory struct {
+		IsRestored bool
+		Ago        time.Duration
+	}
 	// ClaimRead reports the result of ReadClaims.
 	ClaimRead struct {
 		Batch uint64
@@ -94,6 +100,7 @@
 func (ClaimFinished) claimEvent()  {}
 func (ClaimCommitted) claimEvent() {}
 func (ClaimRead) claimEvent()      {}
+func (ClaimHistory) claimEvent()   {}
 
 // ClaimAction is an action that Claims.Handle requests from its driver.
 type ClaimAction interface{ claimAction() }
@@ -156,6 +163,7 @@
 	inFlightDeletes bool          // whether the batch in flight deletes rows
 	batch           uint64        // number of the batch in flight, or of the last one
 	era             store.Era
+	knowsHistory    bool
 	doubtUntil      request.Instant // until when the table may lack claims of keys that ran
 }
 
@@ -224,7 +232,7 @@
 
 // isDoubtful reports whether the effect of a claim may have run although the table has no other claim of its key.
 func (c *Claims) isDoubtful(now request.Instant, claim *Claim) bool {
-	return !claim.FirstSend && now < c.doubtUntil
+	return !claim.FirstSend && (!c.knowsHistory || now < c.doubtUntil)
 }
 
 // refuseKeyClaimed returns the result of a claim whose key is held by another claim.
--- a/session/claim_command.go
+++ b/session/claim_command.go
@@ -21,6 +21,11 @@
 		if e.Batch == c.batch && len(c.inFlight) > 0 {
 			out = c.handleCommitted(now, e.Err, out)
 		}
+	case ClaimHistory:
+		c.knowsHistory = true
+		if e.IsRestored {
+			c.doubtUntil = max(c.doubtUntil, now.Add(c.settings.RestoreDoubt-e.Ago))
+		}
 	case ClaimRead:
 		c.observeEra(now, e.Era)
 		if e.Batch == c.batch && len(c.inFlight) > 0 {
--- a/session/claim_test.go
+++ b/session/claim_test.go
@@ -40,6 +40,7 @@
 	for i, name := range []string{"n1", "n2"} {
 		s := session.ClaimSettings{Instance: request.InstanceID(name), Incarnation: request.Incarnation(i + 1), MaxBatch: 3, MaxQueue: 4}
 		claims := session.NewClaims(s, rand.New(rand.NewPCG(uint64(i), 1)))
+		claims.Handle(0, session.ClaimHistory{}, nil)
 		w.nodes[name] = &claimNode{name: name, claims: claims, keys: map[session.Waiter]string{}}
 	}
 	return w
