node: nodes that start together all know at once whether the store came back from a copy

Evidence: node.TestHistoryOfNodesThatStartTogether failed before with that error. A node whose write comes late now reads the row at once, and after another error again after 50 ms, growing to a second.

--- a/node/claims.go
+++ b/node/claims.go
@@ -25,8 +25,9 @@
 const (
 	// restoreKey is the key of the row that tells when the store last came back from a copy.
 	restoreKey store.Key = "restore"
-	// historyInterval is the time between reads of that row while the platform is down, and between checks of the era.
-	historyInterval = time.Second
+	// historyInterval is the time between checks of the era, and the longest time between reads of that row while the platform is down.
+	// historyRetry is the shortest one, since keys that were sent before are not granted meanwhile.
+	historyInterval, historyRetry = time.Second, 50 * time.Millisecond
 )
 
 // restoreRow is the value of the row with restoreKey.
@@ -51,8 +52,8 @@
 
 // learnHistory reads in each era of the store when that came back from a copy, and keeps it for nodes that start later.
 func (c *claims) learnHistory(ctx context.Context) error {
-	isLearned, era := false, store.Era(0)
-	for ; ctx.Err() == nil; request.Sleep(ctx, historyInterval) {
+	isLearned, era, pause := false, store.Era(0), historyRetry
+	for ; ctx.Err() == nil; request.Sleep(ctx, pause) {
 		if isLearned && c.table.Era() == era {
 			continue
 		}
@@ -63,14 +64,26 @@
 		})
 		if err != nil {
 			c.node.log.Debug().Err(err).Msg("cannot read when the store came back from a copy; keys that were sent before are not granted until then")
+			isLearned, pause = false, min(2*pause, historyInterval)
 			continue
 		}
-		isLearned, era = true, found
+		isLearned, era, pause = true, found, historyInterval
 	}
 	return nil
 }
 
+// readHistory reads the row, and writes it if it is of another era. All nodes that start together do so; those whose write comes late read what
+// the first one wrote.
 func (c *claims) readHistory(ctx context.Context) (store.Era, error) {
+	for {
+		era, err := c.tryReadHistory(ctx)
+		if !store.ConditionFailed.Has(err) || ctx.Err() != nil {
+			return era, err
+		}
+	}
+}
+
+func (c *claims) tryReadHistory(ctx context.Context) (store.Era, error) {
 	rows, err := c.table.Read(ctx, []store.Key{restoreKey})
 	if err != nil {
 		return 0, err
