review: case 1, a queued request runs at an upstream of another service

An upstream falls silent and its address goes to an upstream of another service; requests that wait in the queue of the gate run there and its answer reaches their clients. The lab has the stand-ins for the cases of the review.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts start.
+set -euo pipefail
+cd "$(dirname "$0")/lab"
+go build -o ../../target/review-lab .
