--- a/review/lab/deployment.go
+++ b/review/lab/deployment.go
@@ -45,4 +45,3 @@
 	time.Sleep(stableWindow)
 	return nodes, upstreams, nil
 }
-
--- a/review/lab/node.go
+++ b/review/lab/node.go
@@ -219,3 +219,17 @@
 	}
 	return fmt.Errorf("%s is not ready after %v", n.name(), limit)
 }
+
+// panicText returns the line with which the process reported that it crashed, or an empty text.
+func (n *node) panicText() string {
+	data, err := os.ReadFile(fmt.Sprintf("%s/node-%d.log", n.lab.temp, n.machine))
+	if err != nil {
+		return ""
+	}
+	for line := range strings.Lines(string(data)) {
+		if strings.HasPrefix(line, "panic:") || strings.HasPrefix(line, "fatal error:") {
+			return strings.TrimSpace(line)
+		}
+	}
+	return ""
+}
