--- a/review/lab/upstream.go
+++ b/review/lab/upstream.go
@@ -161,9 +161,18 @@
 		ms, _ := strconv.Atoi(m[1])
 		return time.Duration(ms) * time.Millisecond
 	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	return u.work
 }
 
+// setWork changes the time that requests take.
+func (u *upstream) setWork(d time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.work = d
+}
+
 // ran returns the requests that the upstream ran.
 func (u *upstream) ran() []runRecord {
 	u.mu.Lock()
