--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -24,7 +24,7 @@
 // ask sends one request on a new connection.
 func (l *lab) ask(n *node, method, host, target string, budget time.Duration, body string) answer {
 	a := answer{id: fmt.Sprintf("%08x%08x", lastRequest.Add(1), time.Now().UnixNano()&0xffffffff), sent: time.Now()}
-	l.note("SENT %s %s %s host %s body %q to %s", a.id, method, target, host, body, n.name())
+	l.note("SENT %s %s %s host %s body of %d bytes to %s", a.id, method, target, host, len(body), n.name())
 	defer func() { l.note("ANSWERED %s status %d seal %q", a.id, a.status, a.seal) }()
 	conn, err := net.DialTimeout("tcp4", n.outbound(), time.Second)
 	if err != nil {
