mesh, departure: a backend server that has left stays out of use after its node restarts

The node beside it had restarted, by a kill or by SIGTERM, and took a late report for that of a new incarnation. The same happened without a restart after the acknowledgement if the node knew the server from a health check only, and a DELETE that reached a node which knew no server yet was acknowledged and dropped.

Cause: that an incarnation has left was a flag of the current incarnation in the memory of one process. Evidence: after the late report the restarted node logs "lifetime" without an earlier incarnation, and the first late request follows it; no order of sequence numbers can tell, since the process has seen no other report.

Change: package departure keeps which incarnations have left, by identifier and start time. A DELETE, a leaving report and an announcement in a response all go into it, whichever incarnation is current. The node writes a departure to the store before it acknowledges it (waiting half a second at most), tells it in its entries as health "departed", reads it at its start, and is told by nodes of its zone after a restart. A report of an incarnation that has left is ignored. A later incarnation opens the gate with its first report as before, and has the rows of earlier ones removed; others expire after an hour. The health "leaving" alone would not do, since a node that shuts down tells it of a server that goes on.

TestServerSaysItLeavesToOthers expected the gate to be open after the restart, because the node knew nothing. It now expects the gate to refuse, which is stricter: requests of other nodes and at the gate itself must not reach the server.

Tried first: removing the row when another node told of the departure again, which wrote it back for good; departures from before the current incarnation started are now left out.

--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -15,13 +15,14 @@
 
 // The health states of a backend server.
 const (
-	Absent  Health = iota // no backend server has reported to the node
-	Serving               // the backend server accepts requests
-	Leaving               // the backend server announced its shutdown, or its node is shutting down
-	Down                  // the backend server does not accept connections
+	Absent   Health = iota // no backend server has reported to the node
+	Serving                // the backend server accepts requests
+	Leaving                // the node is shutting down; earlier versions tell this also of a backend server that has left
+	Down                   // the backend server does not accept connections
+	Departed               // the backend server has announced that it leaves, which holds for the rest of its incarnation
 )
 
-var healthNames = [...]string{"absent", "serving", "leaving", "down"}
+var healthNames = [...]string{"absent", "serving", "leaving", "down", "departed"}
 
 // String returns the name of the state, or "invalid".
 func (h Health) String() string {
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -100,6 +100,10 @@
 	minIncarnation request.Incarnation
 	// left holds the backend servers that have said to this node that they leave.
 	left map[request.InstanceID]departure
+	// held are the departures that nodes of the zone are told again after a restart, by their address, and toldDepartures those that other
+	// nodes have told the local node.
+	held           map[netip.Addr]*heldDeparture
+	toldDepartures []ToldDeparture
 	// entryAges and summaryAges tell how long entries of the local zone and summaries of other zones take to arrive.
 	entryAges, summaryAges ageMeter
 }
@@ -109,6 +113,7 @@
 	t := &Table{
 		settings: s, self: self.Address, zone: self.Zone, random: random,
 		members: map[netip.Addr]*member{}, summaries: map[summaryKey]*heldSummary{}, left: map[request.InstanceID]departure{},
+		held: map[netip.Addr]*heldDeparture{},
 	}
 	t.lastCrossZone, t.lastRenewed, t.lastReceived, t.resumed = neverSent, neverSent, neverSent, neverSent
 	t.members[self.Address] = &member{entry: Entry{Address: self.Address, Zone: self.Zone}}
@@ -160,6 +165,9 @@
 			continue
 		}
 		if e.Address == t.self {
+			if e.Health == Departed {
+				t.toldDepartures = append(t.toldDepartures, ToldDeparture{e.Instance, e.Age})
+			}
 			if e.Incarnation > t.members[t.self].entry.Incarnation {
 				t.minIncarnation = max(t.minIncarnation, e.Incarnation+1)
 			}
@@ -185,6 +193,9 @@
 		m.entry, m.hasEntry = *e, true
 		m.renewed = now.Add(-e.Age)
 		m.heard = m.renewed
+		if e.Health == Departed {
+			t.hold(now, e)
+		}
 	}
 	return newest, holder
 }
@@ -210,33 +221,6 @@
 	}
 }
 
-// departure is an incarnation of a backend server that has said that it leaves; its identifier is the key of the map.
-type departure struct {
-	start  string // of the incarnation, as in request.InstanceID.SplitStart
-	marked request.Instant
-}
-
-// MarkLeaving records that an incarnation of a backend server has said in a response that it leaves. It counts as leaving whatever its
-// node tells later: after a restart, the node may not know. A later incarnation under the same identifier does not count as leaving.
-func (t *Table) MarkLeaving(now request.Instant, incarnation request.InstanceID) {
-	if incarnation != "" {
-		id, start := incarnation.SplitStart()
-		t.left[id] = departure{start, now}
-	}
-}
-
-// isMarkedLeaving reports whether MarkLeaving was called for the incarnation, or for one of an unknown start time. The first start time
-// that becomes known is taken for that of the incarnation that leaves.
-func (t *Table) isMarkedLeaving(incarnation request.InstanceID) bool {
-	id, start := incarnation.SplitStart()
-	d, ok := t.left[id]
-	if ok && d.start == "" && start != "" {
-		d.start = start
-		t.left[id] = d
-	}
-	return ok && (start == "" || start == d.start)
-}
-
 // Messages returns the messages to send in one tick: entries of the zone to nodes of the zone, summaries of other zones to
 // one of them, and at each CrossZoneInterval those of the local zone to a node of another one.
 func (t *Table) Messages(now request.Instant) []Message {
@@ -264,6 +248,9 @@
 		out = append(out, Message{To: m.entry.Address, Entries: t.nextEntries(now, m)})
 		m.lastSent = now
 	}
+	for _, m := range out {
+		out = t.appendHeld(out, now, m.To)
+	}
 	if now.Sub(t.lastCrossZone) >= t.settings.CrossZoneInterval && len(remote) > 0 {
 		t.lastCrossZone = now
 		out = t.appendSummaries(out, now, remote[0], true)
@@ -514,11 +501,11 @@
 	return n
 }
 
-// RemoveOlder removes nodes without a sign of life for maxAge, so that replaced instances do not accumulate, and summaries and marked
+// RemoveOlder removes nodes without a sign of life for maxAge, so that replaced instances do not accumulate, and summaries and
 // departures of that age. The nodes of a zone of which all are silent are kept: the zone is cut off, and its nodes are needed when it is not.
 func (t *Table) RemoveOlder(now request.Instant, maxAge time.Duration) {
 	t.removeSummaries(now, maxAge)
-	maps.DeleteFunc(t.left, func(_ request.InstanceID, d departure) bool { return now.Sub(d.marked) > maxAge })
+	t.removeDepartures(now, maxAge)
 	heard := map[request.ZoneID]request.Instant{}
 	for _, m := range t.members {
 		heard[m.entry.Zone] = max(heard[m.entry.Zone], m.heard)
--- a/mesh/announcement.go
+++ b/mesh/announcement.go
@@ -41,7 +41,7 @@
 		}
 	}
 	if info.IsLeaving {
-		b.startLeaving("the backend server says so in a response")
+		b.depart(incarnation, b.lastReport.StartTime, "the backend server says so in a response")
 	}
 }
 
@@ -95,5 +95,6 @@
 	}
 	n.fleetMu.Lock()
 	n.fleet.MarkLeaving(n.now(), t.Instance)
+	n.fleet.HoldDeparture(n.now(), t.Address, t.Instance)
 	n.fleetMu.Unlock()
 }
--- a/mesh/announcement_test.go
+++ b/mesh/announcement_test.go
@@ -108,8 +108,8 @@
 func TestServerSaysItLeavesToOthers(t *testing.T) {
 	d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
 	leaving, client := d.startAfterDeparture()
-	d.startNode(leaving) // does not learn of the departure
-	d.eventually("the gate is open", func() bool { return strings.HasPrefix(d.sendAttempt(leaving, "1 0 -s /registry"), "answered") })
+	d.startNode(leaving)
+	d.eventually("the gate refuses", func() bool { return strings.HasPrefix(d.sendAttempt(leaving, registryCall), "not_run leaving") })
 	other := d.start("registry", "b", 0)
 	d.eventually("the other instance serves", func() bool { return d.get(client, "/birds/1", "settle").status == http.StatusOK })
 	before := len(leaving.runs())
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sapphiretack/sapphiretack/departure"
 	"github.com/sapphiretack/sapphiretack/fleet"
 	"github.com/sapphiretack/sapphiretack/gate"
 	"github.com/sapphiretack/sapphiretack/quarantine"
@@ -49,6 +50,7 @@
 	hasSlots        bool   // whether the latest report had a number of slots
 	health          fleet.Health
 	isLeaving       bool // whether the current incarnation is leaving
+	departures      departures
 	address         netip.AddrPort
 	failures        failureRate
 	activity        gateActivity
@@ -364,17 +366,21 @@
 }
 
 // Report applies a status report of the local backend server. It returns false if the report names another address than that
-// of the local backend server and must not be acknowledged.
-func (n *Node) Report(r Report) bool { return n.backend.report(r) }
+// of the local backend server and must not be acknowledged. It waits until a departure is in the store, for half a second at most.
+func (n *Node) Report(r Report) bool {
+	isApplied := n.backend.report(r)
+	if isApplied && r.State != StateReady {
+		n.awaitStoredDepartures()
+	}
+	return isApplied
+}
 
 func (b *backend) report(r Report) bool {
 	n := b.node
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r.State == StateGone {
-		if r.Instance == b.lastReport.Instance {
-			b.startLeaving("the backend server has ended its registration")
-		}
+		b.depart(r.Instance, r.StartTime, "the backend server has ended its registration")
 		return true
 	}
 	if r.Address != b.address {
@@ -387,8 +393,12 @@
 			Msg("report refused: its service is neither that of the settings nor in the configuration")
 		return false
 	}
-	if r.State == StateLeaving && b.isCurrent(r) {
-		b.startLeaving("the backend server leaves") // whatever the sequence number: an incarnation that leaves does not come back
+	if r.State == StateLeaving {
+		b.depart(r.Instance, r.StartTime, "the backend server leaves") // whatever the sequence number: an incarnation that leaves does not come back
+	} else if b.departures.log.Includes(time.Now(), r.Instance, r.StartTime) {
+		n.log.Info().Str("event", "report_of_departed").Str("instance_id", string(r.Instance)).Int64("sequence", r.Sequence).
+			Time("born", r.StartTime).Msg("report ignored: its incarnation has left")
+		return true
 	}
 	if !b.isNewerReport(r) {
 		n.log.Info().Str("event", "report_old").Str("instance_id", string(r.Instance)).Int64("sequence", r.Sequence).
@@ -407,12 +417,13 @@
 			Str("before", string(b.lastReport.Instance)).Int("slots", r.Slots).Dur("cold", r.WarmUp).Msg("new incarnation of the backend server")
 		b.isLeaving = false
 		b.failures.reset()
+		b.forgetDepartures(r.StartTime)
 	}
 	isFirst := isNew || !b.hasSlots
 	b.lastReport, b.hasSlots = r, r.Slots > 0
 	n.service.Store(&r.Service)
 	if r.State == StateLeaving {
-		b.startLeaving("the backend server leaves")
+		b.startLeaving(fleet.Departed, "the backend server leaves")
 		return true
 	}
 	if isFirst {
@@ -424,11 +435,6 @@
 	return true
 }
 
-// isCurrent reports whether r is certainly of the current incarnation, which takes a start time. The caller holds b.mu.
-func (b *backend) isCurrent(r Report) bool {
-	return r.Instance == b.lastReport.Instance && r.StartTime.Equal(b.lastReport.StartTime) && r.StartTime.UnixMilli() > 0
-}
-
 // isKnownService reports whether a backend server of the service may run beside the node.
 func (n *Node) isKnownService(s request.ServiceID) bool {
 	c := n.configuration.Load()
@@ -464,16 +470,20 @@
 	}
 }
 
-// startLeaving marks the backend server as leaving, which the next tick gossips, and closes the gate after a delay. The
+// startLeaving marks the backend server as leaving or departed, which the next tick gossips, and closes the gate after a delay. The
 // caller holds b.mu.
-func (b *backend) startLeaving(reason string) {
-	if b.isLeaving {
+func (b *backend) startLeaving(health fleet.Health, reason string) {
+	if b.isLeaving && (b.health == health || b.health == fleet.Departed) {
 		return
 	}
+	wasLeaving := b.isLeaving
 	b.isLeaving = true
-	b.health = fleet.Leaving
+	b.health = health
 	incarnation := b.lastReport.Instance
 	b.node.log.Info().Str("event", "leaving").Str("instance_id", string(incarnation)).Str("why", reason).Msg("backend server is leaving and accepts no new requests")
+	if wasLeaving {
+		return
+	}
 	time.AfterFunc(min(gateCloseDelay, b.node.settings.DrainTime/4), func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -487,7 +497,7 @@
 func (b *backend) announceLeaving(reason string) {
 	b.mu.Lock()
 	isNew := !b.isLeaving
-	b.startLeaving(reason)
+	b.startLeaving(fleet.Leaving, reason)
 	b.mu.Unlock()
 	if isNew {
 		b.node.tick()
@@ -566,7 +576,7 @@
 	limit := b.gate.Capacity(now)
 	route, serviceTime := b.gate.DominantRoute(now)
 	return fleet.Entry{
-		Service: *b.node.service.Load(), Instance: b.lastReport.Instance.WithStart(b.lastReport.StartTime), Health: b.health, Limit: uint16(min(limit, 1<<16-1)),
+		Service: *b.node.service.Load(), Instance: departure.Incarnation(b.lastReport.Instance, b.lastReport.StartTime), Health: b.health, Limit: uint16(min(limit, 1<<16-1)),
 		DominantRoute: route, ServiceTime: serviceTime, FailurePercent: b.failures.percent(now),
 	}, float64(b.gate.Running()+b.gate.Queued()) / float64(max(1, limit))
 }
--- /dev/null
+++ b/mesh/departure.go
@@ -0,0 +1,218 @@
+package mesh
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/sapphiretack/sapphiretack/departure"
+	"github.com/sapphiretack/sapphiretack/fleet"
+	"github.com/sapphiretack/sapphiretack/request"
+)
+
+// departureStoreTime is how long the acknowledgement of a departure waits for the store. Backend servers wait for a second.
+const departureStoreTime = 500 * time.Millisecond
+
+// departures are those of the backend servers beside the node, and what the store does not know of them yet. The lock of the backend guards
+// them.
+type departures struct {
+	log departure.Log
+	// unstored and obsolete are to be written to the store and removed from it.
+	unstored, obsolete []departure.Departure
+	// stored is closed once unstored is empty; it is nil if it is empty already.
+	stored chan struct{}
+}
+
+// store has departures written to the store.
+func (d *departures) store(left ...departure.Departure) {
+	if len(left) == 0 {
+		return
+	}
+	if d.stored == nil {
+		d.stored = make(chan struct{})
+	}
+	d.unstored, d.obsolete = append(without(d.unstored, left), left...), without(d.obsolete, left)
+}
+
+// remove has departures removed from the store.
+func (d *departures) remove(left ...departure.Departure) {
+	d.obsolete = append(without(d.obsolete, left), left...)
+	d.written(left, nil)
+}
+
+// written records what has been written to the store.
+func (d *departures) written(added, removed []departure.Departure) {
+	d.unstored, d.obsolete = without(d.unstored, added), without(d.obsolete, removed)
+	if len(d.unstored) == 0 && d.stored != nil {
+		close(d.stored)
+		d.stored = nil
+	}
+}
+
+// without returns the departures of a list whose incarnations are not among others.
+func without(list, others []departure.Departure) []departure.Departure {
+	return slices.DeleteFunc(list, func(l departure.Departure) bool {
+		return slices.ContainsFunc(others, func(o departure.Departure) bool { return o.Incarnation == l.Incarnation })
+	})
+}
+
+// depart records that an incarnation of the backend server leaves, whichever is the current one. The caller holds b.mu.
+func (b *backend) depart(id request.InstanceID, start time.Time, reason string) {
+	if id == b.lastReport.Instance {
+		if departure.Incarnation(id, start) == id {
+			start = b.lastReport.StartTime
+		} else if departure.Incarnation(id, b.lastReport.StartTime) == id {
+			b.lastReport.StartTime = start // a health check was first to find the incarnation
+		}
+	}
+	d := departure.Departure{Incarnation: departure.Incarnation(id, start), Time: time.Now()}
+	if b.departures.log.Add(d) {
+		b.departures.store(d)
+		wake(b.node.departureUnstored)
+	}
+	b.closeIfDeparted(reason)
+}
+
+// closeIfDeparted starts to close the gate if the current incarnation has left. The caller holds b.mu.
+func (b *backend) closeIfDeparted(reason string) {
+	if b.departures.log.Includes(time.Now(), b.lastReport.Instance, b.lastReport.StartTime) {
+		b.startLeaving(fleet.Departed, reason)
+	}
+}
+
+// forgetDepartures removes the departures from before a new incarnation started: the address of the backend server is in use again, so
+// none of the earlier incarnations serves there. The caller holds b.mu.
+func (b *backend) forgetDepartures(start time.Time) {
+	if removed := b.departures.log.RemoveBefore(start); len(removed) > 0 {
+		b.departures.remove(removed...)
+		wake(b.node.departureUnstored)
+	}
+}
+
+// learnDepartures applies departures that this node acknowledged before its last start, as other nodes tell it.
+func (b *backend) learnDepartures(told []fleet.ToldDeparture) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range told {
+		d := departure.Departure{Incarnation: t.Instance, Time: time.Now().Add(-t.Age)}
+		if b.learn(d, "other nodes") {
+			b.departures.store(d)
+			wake(b.node.departureUnstored)
+		}
+	}
+	b.closeIfDeparted("other nodes know of its departure")
+}
+
+// isOver reports whether the current incarnation has started after a departure. The caller holds b.mu.
+func (b *backend) isOver(d departure.Departure) bool {
+	return d.Time.Before(b.lastReport.StartTime) && !d.Covers(b.lastReport.Instance, b.lastReport.StartTime)
+}
+
+// learn records a departure from before this node started and reports whether it was unknown. The caller holds b.mu.
+func (b *backend) learn(d departure.Departure, from string) bool {
+	if b.isOver(d) || !b.departures.log.Add(d) {
+		return false
+	}
+	b.node.log.Info().Str("event", "departure_learned").Str("instance_id", string(d.Incarnation)).Str("from", from).
+		Dur("age", time.Since(d.Time)).Msg("backend server left before this node started")
+	return true
+}
+
+// restoreDepartures has all departures written again to a store that has come back from a copy.
+func (b *backend) restoreDepartures() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.departures.store(b.departures.log.All()...)
+	wake(b.node.departureUnstored)
+}
+
+// awaitStoredDepartures waits until all departures are in the store, for departureStoreTime at most, and has other nodes told of them
+// meanwhile: the node that has acknowledged a departure may end right after.
+func (n *Node) awaitStoredDepartures() {
+	n.tick()
+	n.backend.mu.Lock()
+	stored := n.backend.departures.stored
+	n.backend.mu.Unlock()
+	if stored == nil {
+		return
+	}
+	timeout := time.NewTimer(departureStoreTime)
+	defer timeout.Stop()
+	select {
+	case <-stored:
+	case <-timeout.C:
+		n.log.Warn().Str("event", "departure_not_stored").Msg("departure of the backend server is acknowledged before the store has it; other nodes are told, and writing goes on")
+	}
+}
+
+// departureLoop reads the departures that this node acknowledged before its last start, unless all nodes start for the first time, and
+// writes those that become known.
+func (n *Node) departureLoop(ctx context.Context) error {
+	if !n.settings.IsFirstStart {
+		n.readDepartures(ctx)
+	}
+	backoff := minBackoff
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.departureUnstored:
+		}
+		if err := n.writeDepartures(ctx); err != nil {
+			n.log.Info().Str("event", "departure_not_kept").Err(err).Msg("cannot write the departures of the backend server to the store; retrying")
+			n.backOff(ctx, &backoff)
+			wake(n.departureUnstored)
+			continue
+		}
+		backoff = minBackoff
+	}
+}
+
+// readDepartures reads the departures of this node from the store, retrying until that succeeds, and removes those that have expired.
+func (n *Node) readDepartures(ctx context.Context) {
+	for backoff := minBackoff; ctx.Err() == nil; n.backOff(ctx, &backoff) {
+		stored, err := n.store.Departures(ctx, n.settings.Address)
+		if err != nil {
+			n.log.Info().Str("event", "departures_unread").Err(err).Msg("cannot read the departures of the backend server from the store; retrying")
+			continue
+		}
+		b := n.backend
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		for _, d := range stored {
+			if d.IsExpired(time.Now()) || b.isOver(d) {
+				b.departures.remove(d)
+				wake(n.departureUnstored)
+			} else {
+				b.learn(d, "store")
+			}
+		}
+		b.closeIfDeparted("the store has its departure")
+		return
+	}
+}
+
+// writeDepartures writes what the store does not know yet. With each departure it removes expired ones of any node, so that those of
+// machines that are gone do not accumulate.
+func (n *Node) writeDepartures(ctx context.Context) error {
+	b := n.backend
+	b.mu.Lock()
+	added, removed := slices.Clone(b.departures.unstored), slices.Clone(b.departures.obsolete)
+	b.mu.Unlock()
+	if len(added)+len(removed) == 0 {
+		return nil
+	}
+	if err := n.store.WriteDepartures(ctx, n.settings.Address, added, removed); err != nil {
+		return err
+	}
+	b.mu.Lock()
+	b.departures.written(added, removed)
+	b.mu.Unlock()
+	if len(added) == 0 {
+		return nil
+	}
+	if err := n.store.RemoveExpiredDepartures(ctx); err != nil {
+		n.log.Info().Str("event", "departures_not_expired").Err(err).Msg("cannot remove expired departures from the store; the next departure does")
+	}
+	return nil
+}
--- /dev/null
+++ b/mesh/departure_test.go
@@ -0,0 +1,224 @@
+package mesh_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/sapphiretack/sapphiretack/mesh"
+	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/standin"
+)
+
+const registryCall = "1 0 -s /registry"
+
+// sendDelete sends the DELETE of the backend server of a machine to its control listener.
+func (d *deployment) sendDelete(m *machine) {
+	d.c.Helper()
+	url := "http://" + netip.AddrPortFrom(m.address, d.ports["control"]).String() + "/-/instances/" + m.instance
+	r, err := http.NewRequest(http.MethodDelete, url, nil)
+	d.c.Assert(err, qt.IsNil)
+	response, err := http.DefaultClient.Do(r)
+	d.c.Assert(err, qt.IsNil)
+	_ = response.Body.Close()
+	d.c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+}
+
+// depart has the backend server of a machine end its registration or report that it leaves, as kind tells.
+func (d *deployment) depart(m *machine, kind string) {
+	d.c.Helper()
+	switch kind {
+	case "delete":
+		d.sendDelete(m)
+	case "report":
+		report := m.report
+		report.State, report.Sequence = mesh.StateLeaving, 9
+		d.c.Assert(m.node.Report(report), qt.IsTrue)
+	case "response":
+		m.application.Announce(http.Header{standin.ApplicationLeavingHeader: {"1"}})
+		d.c.Check(strings.HasPrefix(d.sendAttempt(m, registryCall), "answered"), qt.IsTrue)
+		m.application.Announce(nil)
+	}
+	d.eventually("the gate refuses", func() bool { return strings.HasPrefix(d.sendAttempt(m, registryCall), "not_run leaving") })
+}
+
+// restart stops the node of a machine and starts it again; the node hears nothing of its backend server.
+func (d *deployment) restart(m *machine) {
+	m.stopNode()
+	d.startNodeUnreported(m)
+}
+
+// checkClosed sends requests to all nodes and to the gate of a machine, whose backend server must not run any.
+func (d *deployment) checkClosed(m *machine) {
+	d.c.Helper()
+	before := len(m.runs())
+	for i := range 20 {
+		d.get(d.machines[i%len(d.machines)], "/birds/1", fmt.Sprint("later", i))
+		d.sendAttempt(m, registryCall)
+	}
+	d.c.Check(len(m.runs())-before, qt.Equals, 0)
+}
+
+// TestDepartureOutlastsNode guards against a backend server that has left and gets requests again because the node that acknowledged its
+// departure has restarted, and takes a late report or a health check for a sign that it serves.
+func TestDepartureOutlastsNode(t *testing.T) {
+	restartNode := func(d *deployment, m *machine) { d.restart(m) }
+	for name, test := range map[string]struct {
+		kind    string
+		restart func(d *deployment, m *machine)
+	}{
+		"end of registration": {"delete", restartNode},
+		"leaving report":      {"report", restartNode},
+		"response":            {"response", restartNode},
+		"two restarts":        {"delete", func(d *deployment, m *machine) { d.restart(m); d.restart(m) }},
+		"other nodes first": {"delete", func(d *deployment, m *machine) {
+			for _, other := range d.machines[1:] {
+				d.restart(other)
+			}
+			d.restart(m)
+		}},
+		"all nodes at once": {"report", func(d *deployment, _ *machine) {
+			for _, m := range d.machines {
+				m.stopNode()
+			}
+			for _, m := range d.machines {
+				d.startNodeUnreported(m)
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+			d.logOnFailure(t)
+			leaving := d.start("registry", "a", 0)
+			d.start("transfers", "a", 0)
+			d.start("registry", "b", 0)
+			d.waitUntilServing("/birds/1")
+			d.depart(leaving, test.kind)
+			test.restart(d, leaving)
+			late := leaving.report
+			late.Sequence = 3
+			d.c.Assert(leaving.node.Report(late), qt.IsTrue)
+			d.eventually("the node knows of the departure", func() bool {
+				return strings.HasPrefix(d.sendAttempt(leaving, registryCall), "not_run")
+			})
+			d.c.Assert(leaving.node.Report(late), qt.IsTrue)
+			time.Sleep(leaving.settings.DrainTime) // a health check would open the gate by now
+			d.checkClosed(leaving)
+		})
+	}
+}
+
+// TestDepartureWithoutStore guards against a departure that is forgotten in a restart because the store was away when it was acknowledged, or
+// when the node started.
+func TestDepartureWithoutStore(t *testing.T) {
+	setDown := func(d *deployment, isDown bool) {
+		d.store.mu.Lock()
+		defer d.store.mu.Unlock()
+		d.store.isDown = isDown
+	}
+	for name, test := range map[string]struct{ atDeparture, atStart bool }{
+		"at the departure": {true, false}, "at the start": {false, true}, "all the time": {true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+			d.logOnFailure(t)
+			leaving := d.start("registry", "a", 0)
+			d.start("transfers", "a", 0)
+			d.start("registry", "a", 0)
+			d.waitUntilServing("/birds/1")
+			setDown(d, test.atDeparture)
+			d.depart(leaving, "delete")
+			leaving.stopNode()
+			setDown(d, test.atStart)
+			d.startNode(leaving) // hears the late report at once
+			d.eventually("the node knows of the departure", func() bool {
+				return strings.HasPrefix(d.sendAttempt(leaving, registryCall), "not_run leaving")
+			})
+			d.checkClosed(leaving)
+			setDown(d, false)
+			d.eventually("the store has the departure", func() bool {
+				kept, err := d.store.Departures(t.Context(), leaving.address)
+				return err == nil && len(kept) == 1
+			})
+		})
+	}
+}
+
+// TestDepartureBeforeFirstReport guards against a backend server that has left and gets requests again with its first report, because the node
+// knew it from a health check only, or not at all, when it left.
+func TestDepartureBeforeFirstReport(t *testing.T) {
+	for name, isFound := range map[string]bool{"found by health check": true, "unknown": false} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+			d.logOnFailure(t)
+			leaving := d.start("registry", "a", 0)
+			d.start("registry", "a", 0)
+			d.waitUntilServing("/birds/1")
+			if !isFound {
+				leaving.application.Drain() // fails its health checks
+			}
+			d.restart(leaving)
+			if isFound {
+				d.eventually("the gate is open", func() bool { return strings.HasPrefix(d.sendAttempt(leaving, registryCall), "answered") })
+			} else {
+				d.sendAttempt(leaving, registryCall) // returns once the node listens
+			}
+			d.sendDelete(leaving)
+			time.Sleep(leaving.settings.DrainTime)
+			late := leaving.report
+			late.Sequence = 3
+			d.c.Assert(leaving.node.Report(late), qt.IsTrue)
+			d.checkClosed(leaving)
+		})
+	}
+}
+
+// TestLaterIncarnationAfterDeparture guards against a backend server that gets no requests because an earlier one on the same machine has left,
+// under the same identifier or another one, and the node has restarted since.
+func TestLaterIncarnationAfterDeparture(t *testing.T) {
+	for name, test := range map[string]struct {
+		instance  string
+		isUnborn  bool // whether the node knew the earlier incarnation from a health check only
+		isRestart bool
+	}{
+		"same identifier":                       {instance: "i-registry-1", isRestart: true},
+		"other identifier":                      {instance: "i-registry-9", isRestart: true},
+		"same identifier, unknown start":        {instance: "i-registry-1", isUnborn: true, isRestart: true},
+		"same identifier, same node":            {instance: "i-registry-1"},
+		"same identifier, same node, no report": {instance: "i-registry-1", isUnborn: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+			d.logOnFailure(t)
+			m, client := d.start("registry", "a", 0), d.start("transfers", "a", 0)
+			d.waitUntilServing("/birds/1")
+			if test.isUnborn {
+				d.restart(m)
+				d.eventually("the gate is open", func() bool { return strings.HasPrefix(d.sendAttempt(m, registryCall), "answered") })
+			}
+			d.depart(m, "delete")
+			if test.isRestart {
+				d.restart(m)
+				d.sendAttempt(m, registryCall) // returns once the node listens
+				d.eventually("the node has read the store", func() bool { return strings.Contains(d.metrics(m), "store.departures.ok 1") })
+			}
+			_ = m.server.Close()
+			m.instance = test.instance
+			d.startApplication(m, "registry", 0)
+			m.report.Instance, m.report.StartTime, m.report.Sequence = request.InstanceID(m.instance), time.Now(), 1
+			d.c.Assert(m.node.Report(m.report), qt.IsTrue)
+			// The first attempt may meet a connection to the earlier incarnation.
+			d.eventually("the gate is open", func() bool { return strings.HasPrefix(d.sendAttempt(m, registryCall), "answered") })
+			d.eventually("requests of other nodes are served", func() bool { return d.get(client, "/birds/1", "again").status == http.StatusOK })
+			d.eventually("the departure is removed from the store", func() bool {
+				kept, err := d.store.Departures(t.Context(), m.address)
+				return err == nil && len(kept) == 0
+			})
+		})
+	}
+}
--- a/mesh/deployment.go
+++ b/mesh/deployment.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/sapphiretack/sapphiretack/departure"
 	"github.com/sapphiretack/sapphiretack/fleet"
 	"github.com/sapphiretack/sapphiretack/quarantine"
 	"github.com/sapphiretack/sapphiretack/request"
@@ -110,8 +111,8 @@
 	Version uint64
 }
 
-// Store is the store of a deployment, with the routing configuration, the addresses of the nodes, the costs of requests and the
-// requests in quarantine.
+// Store is the store of a deployment, with the routing configuration, the addresses of the nodes, the costs of requests, the
+// requests in quarantine and the departures of backend servers.
 type Store interface {
 	// Configuration reads the latest configuration.
 	Configuration(ctx context.Context) (ConfigurationUpdate, error)
@@ -137,6 +138,12 @@
 	AddCrashes(ctx context.Context, content request.Fingerprint, crashes []quarantine.Report) ([]quarantine.Report, error)
 	// RemoveCrashes removes the crashes that are written for a request.
 	RemoveCrashes(ctx context.Context, content request.Fingerprint) error
+	// Departures returns the departures that are written for the backend servers beside the node at an address.
+	Departures(ctx context.Context, node netip.Addr) ([]departure.Departure, error)
+	// WriteDepartures adds and removes departures of backend servers beside the node at an address. Either may be repeated.
+	WriteDepartures(ctx context.Context, node netip.Addr, added, removed []departure.Departure) error
+	// RemoveExpiredDepartures removes departures of all nodes that have expired, at most as many as one call can.
+	RemoveExpiredDepartures(ctx context.Context) error
 }
 
 // State is the state that a backend server reports.
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -175,7 +175,9 @@
 		n.fleetMu.Lock()
 		version, holder := n.fleet.Merge(n.now(), m.Entries)
 		n.fleet.MergeSummaries(n.now(), m.Summaries)
+		told := n.fleet.TakeToldDepartures()
 		n.fleetMu.Unlock()
+		n.backend.learnDepartures(told)
 		n.mergeCrashes(m.Crashes)
 		if m.ConfigurationVersion > version {
 			version, holder = m.ConfigurationVersion, from.Addr().Unmap()
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sapphiretack/sapphiretack/departure"
 	"github.com/sapphiretack/sapphiretack/fleet"
 	"github.com/sapphiretack/sapphiretack/mesh"
 	"github.com/sapphiretack/sapphiretack/platform"
@@ -39,13 +40,18 @@
 	addresses []fleet.Endpoint
 	costs     map[routing.RouteID]tree.Cost
 	crashes   map[request.Fingerprint][]quarantine.Report
-	isDown    bool
+	// departures are those written for each node.
+	departures map[netip.Addr][]departure.Departure
+	isDown     bool
 	// registrations counts the calls of Register.
 	registrations int
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{changed: make(chan struct{}), costs: map[routing.RouteID]tree.Cost{}, crashes: map[request.Fingerprint][]quarantine.Report{}}
+	return &memoryStore{
+		changed: make(chan struct{}), costs: map[routing.RouteID]tree.Cost{}, crashes: map[request.Fingerprint][]quarantine.Report{},
+		departures: map[netip.Addr][]departure.Departure{},
+	}
 }
 
 func (d *memoryStore) set(c *routing.Configuration) {
@@ -150,6 +156,28 @@
 	return nil
 }
 
+func (d *memoryStore) Departures(_ context.Context, node netip.Addr) ([]departure.Departure, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isDown {
+		return nil, mesh.Error.New("the store is down")
+	}
+	return slices.Clone(d.departures[node]), nil
+}
+
+func (d *memoryStore) WriteDepartures(_ context.Context, node netip.Addr, added, removed []departure.Departure) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.isDown {
+		return mesh.Error.New("the store is down")
+	}
+	kept := slices.DeleteFunc(d.departures[node], func(k departure.Departure) bool { return slices.Contains(removed, k) })
+	d.departures[node] = append(kept, added...)
+	return nil
+}
+
+func (d *memoryStore) RemoveExpiredDepartures(context.Context) error { return nil }
+
 // machine is a node and its backend server.
 type machine struct {
 	application *standin.Application
--- a/mesh/health.go
+++ b/mesh/health.go
@@ -66,6 +66,9 @@
 		if b.lastReport.Instance != "" || info.Instance == "" {
 			return // wait for the report of the new incarnation, which has its start time and warm-up
 		}
+		if b.departures.log.Includes(time.Now(), info.Instance, time.Time{}) {
+			return // wait for a report, which tells by its start time whether this is a later incarnation
+		}
 		b.lastReport.Instance = info.Instance
 	}
 	n.log.Info().Str("event", "dependency_regained").Str("dependency", "backend_server").Str("instance_id", string(info.Instance)).
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net/netip"
 	"strconv"
 	"time"
 
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"github.com/sapphiretack/sapphiretack/departure"
 	"github.com/sapphiretack/sapphiretack/fleet"
 	"github.com/sapphiretack/sapphiretack/quarantine"
 	"github.com/sapphiretack/sapphiretack/request"
@@ -146,3 +148,16 @@
 func (d instrumentedStore) RemoveCrashes(ctx context.Context, content request.Fingerprint) error {
 	return d.countCall("remove_crashes", d.Store.RemoveCrashes(ctx, content))
 }
+
+func (d instrumentedStore) Departures(ctx context.Context, node netip.Addr) ([]departure.Departure, error) {
+	departures, err := d.Store.Departures(ctx, node)
+	return departures, d.countCall("departures", err)
+}
+
+func (d instrumentedStore) WriteDepartures(ctx context.Context, node netip.Addr, added, removed []departure.Departure) error {
+	return d.countCall("keep_departures", d.Store.WriteDepartures(ctx, node, added, removed))
+}
+
+func (d instrumentedStore) RemoveExpiredDepartures(ctx context.Context) error {
+	return d.countCall("expire_departures", d.Store.RemoveExpiredDepartures(ctx))
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -104,6 +104,8 @@
 	unstored map[request.Fingerprint]struct{}
 	// crashObserved wakes crashLoop, and crashUnstored wakes crashStoreLoop.
 	crashObserved, crashUnstored chan struct{}
+	// departureUnstored wakes departureLoop.
+	departureUnstored chan struct{}
 
 	peerTransport *http.Transport
 	ingress       *ingress.Server
@@ -133,11 +135,12 @@
 		retryBudget: budget.NewLimiter(budget.LimiterSettings{
 			SuccessesPerRetry: successesPerRetry, MinRetries: 1, RefillInterval: s.RetryWindow, SuccessWindow: s.RetryWindow,
 		}),
-		crashes:       quarantine.NewCrashLog(quarantine.DefaultCrashLogSettings()),
-		unstored:      map[request.Fingerprint]struct{}{},
-		crashObserved: make(chan struct{}, 1),
-		crashUnstored: make(chan struct{}, 1),
-		peerTransport: newPeerTransport(),
+		crashes:           quarantine.NewCrashLog(quarantine.DefaultCrashLogSettings()),
+		unstored:          map[request.Fingerprint]struct{}{},
+		crashObserved:     make(chan struct{}, 1),
+		crashUnstored:     make(chan struct{}, 1),
+		departureUnstored: make(chan struct{}, 1),
+		peerTransport:     newPeerTransport(),
 	}
 	n.store = instrumentedStore{d.Store, n.metrics}
 	n.service.Store(&s.Service)
@@ -178,7 +181,7 @@
 	}
 	for _, loop := range []func(context.Context) error{
 		n.tickLoop, n.receiveLoop, n.watchLoop, n.registerLoop, n.costLoop, n.backend.healthCheckLoop, n.reloadLoop, n.crashLoop, n.crashStoreLoop,
-		n.restoreLoop,
+		n.restoreLoop, n.departureLoop,
 	} {
 		group.Add(func() error { return loop(work) }, func(error) { stopWork() })
 	}
--- a/mesh/restore.go
+++ b/mesh/restore.go
@@ -25,6 +25,7 @@
 		delay := time.Duration(n.rng.Int64N(int64(maxRestoreDelay)))
 		n.plannerMu.Unlock()
 		request.Sleep(ctx, delay)
+		n.backend.restoreDepartures()
 		n.restoreAddresses(ctx)
 		n.restoreCrashes(ctx)
 	}
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -240,3 +240,24 @@
 	}
 	d.c.Check(d.get(first, "/v2/", "added").status, qt.Equals, http.StatusOK, qt.Commentf("the node that was ahead of the store went back"))
 }
+
+// TestDepartureAfterRestore guards against a departure that the store has lost because it came back from a copy, and that its node forgets in its
+// next restart.
+func TestDepartureAfterRestore(t *testing.T) {
+	d := newRestoredDeployment(t)
+	d.platform.SaveCopy()
+	leaving := d.start("registry", "a", time.Millisecond)
+	d.waitForVersion(leaving, 1)
+	d.depart(leaving, "delete")
+	store := d.client()
+	isStored := func() bool {
+		departures, err := store.Departures(t.Context(), leaving.address)
+		return err == nil && len(departures) == 1
+	}
+	d.c.Assert(isStored(), qt.IsTrue) // before the acknowledgement
+	d.restore(func() {})
+	d.eventually("the store has the departure again", isStored)
+	leaving.stopNode()
+	d.startNode(leaving) // hears the late report at once
+	d.eventually("the gate refuses", func() bool { return strings.HasPrefix(d.sendAttempt(leaving, registryCall), "not_run leaving") })
+}
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -163,7 +163,7 @@
 			if best < 0 || p.random.IntN(2) == 0 {
 				best = i
 			}
-		case in.Health != fleet.Leaving && in.IsFresh && !in.IsUnreachable:
+		case in.Health != fleet.Leaving && in.Health != fleet.Departed && in.IsFresh && !in.IsUnreachable:
 			if closed < 0 || p.random.IntN(2) == 0 {
 				closed = i
 			}
