member: a member that leaves says so again to members that have started since

When all other nodes restart while an instance leaves, they know it from its row, as alive, and send it calls that it refuses. The instance gossips its leaving once, before they started.

Evidence: script leave_restart, 24 nodes: after 9 s, 21 of 23 nodes still take it for alive; within 60 s repair has told all.

Change: an instance that leaves queues its state for gossip again whenever it learns of a member or a later incarnation of one.

--- a/member/apply.go
+++ b/member/apply.go
@@ -84,6 +84,7 @@
 	e := m.list.insert(*u)
 	m.sampler.stale = true
 	m.changed = true
+	m.repeatLeave()
 	if e.State == Suspect {
 		m.suspect(e, u.SuspectedBy)
 	}
@@ -101,6 +102,7 @@
 	e.deadline = 0
 	m.sampler.stale = true
 	m.changed = true
+	m.repeatLeave()
 	switch e.State {
 	case Suspect:
 		m.suspect(e, u.SuspectedBy)
@@ -112,6 +114,13 @@
 	}
 }
 
+// repeatLeave gossips again that this instance leaves, if it does: a member that has started since knows it from its row, as alive.
+func (m *Membership) repeatLeave() {
+	if m.self.State == Leaving {
+		m.updates.add(m.self)
+	}
+}
+
 // changeState applies a later state of the same incarnation.
 func (m *Membership) changeState(e *entry, u *Member, gossip bool) {
 	switch {
