fleet, mesh: what a faulty node or store names without end is bounded

The table of nodes took every address that an entry, a summary or a row named, each new zone and service of a summary, and each departure, and kept them for five minutes. A faulty node that sends datagrams of new ones grows it by some 10,000 a second. Departures of the local backend server were queued for the store without a bound while the store was away.

Change: at most 8,192 nodes, summaries and departures each, three times the 2,800 nodes that users expect; further ones are left out until old ones expire. Departures wait for the store only while the log of 16 has them, and are written at most ten times a second.

--- a/fleet/departure.go
+++ b/fleet/departure.go
@@ -17,8 +17,11 @@
 // MarkLeaving records that an incarnation of a backend server has said in a response that it leaves. It counts as leaving whatever its
 // node tells later: after a restart, the node may not know. A later incarnation under the same identifier does not count as leaving.
 func (t *Table) MarkLeaving(now request.Instant, incarnation request.InstanceID) {
-	if incarnation != "" {
-		id, start := incarnation.SplitStart()
+	if incarnation == "" {
+		return
+	}
+	id, start := incarnation.SplitStart()
+	if _, ok := t.left[id]; ok || len(t.left) < maxMembers {
 		t.left[id] = departure{start, now}
 	}
 }
@@ -75,7 +78,8 @@
 	if incarnation == "" || a == t.self {
 		return
 	}
-	if h := t.held[a]; h == nil || h.instance != incarnation {
+	h := t.held[a]
+	if h == nil && len(t.held) < maxMembers || h != nil && h.instance != incarnation {
 		t.held[a] = &heldDeparture{instance: incarnation, marked: now}
 	}
 }
--- a/fleet/summary.go
+++ b/fleet/summary.go
@@ -127,7 +127,8 @@
 			continue
 		}
 		made := now.Add(-s.Age)
-		if h := t.summaries[summaryKey{s.Zone, s.Service}]; h != nil && (made <= h.made || isPartial(now, s, h)) {
+		h := t.summaries[summaryKey{s.Zone, s.Service}]
+		if h == nil && len(t.summaries) >= maxSummaries || h != nil && (made <= h.made || isPartial(now, s, h)) {
 			continue
 		}
 		t.holdSummary(*s, made)
@@ -137,6 +138,9 @@
 			}
 			m := t.members[server.Address]
 			if m == nil {
+				if len(t.members) >= maxMembers {
+					continue
+				}
 				m = &member{lastSent: neverSent, told: neverSent}
 				t.members[server.Address] = m
 			}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -77,6 +77,13 @@
 	failed, avoidUntil request.Instant
 }
 
+const (
+	// maxMembers bounds the nodes in a table, and the departures that it holds: a faulty store or node could name new ones for ever.
+	maxMembers = 1 << 13
+	// maxSummaries bounds the summaries, of which there is one for each service in each zone.
+	maxSummaries = 1 << 13
+)
+
 // neverSent precedes any instant that the driver passes.
 const neverSent = request.Instant(-1 << 62)
 
@@ -123,7 +130,7 @@
 // AddEndpoints adds nodes read from the store; known nodes are left unchanged.
 func (t *Table) AddEndpoints(now request.Instant, endpoints []Endpoint) {
 	for _, e := range endpoints {
-		if t.members[e.Address] == nil {
+		if t.members[e.Address] == nil && len(t.members) < maxMembers {
 			t.members[e.Address] = &member{entry: Entry{Address: e.Address, Zone: e.Zone}, lastSent: neverSent, told: neverSent, heard: now}
 			if e.Zone == t.zone {
 				t.isSettled, t.discovered = false, now
@@ -178,6 +185,9 @@
 		}
 		m := t.members[e.Address]
 		if m == nil {
+			if len(t.members) >= maxMembers {
+				continue
+			}
 			m = &member{lastSent: neverSent, told: neverSent}
 			t.members[e.Address] = m
 		}
--- a/mesh/departure.go
+++ b/mesh/departure.go
@@ -10,8 +10,12 @@
 	"github.com/sapphiretack/sapphiretack/request"
 )
 
-// departureStoreTime is how long the acknowledgement of a departure waits for the store. Backend servers wait for a second.
-const departureStoreTime = 500 * time.Millisecond
+const (
+	// departureStoreTime is how long the acknowledgement of a departure waits for the store. Backend servers wait for a second.
+	departureStoreTime = 500 * time.Millisecond
+	// departureStoreInterval is the minimum time between writes of departures, which a faulty backend server could announce for ever.
+	departureStoreInterval = 100 * time.Millisecond
+)
 
 // departures are those of the backend servers beside the node, and what the store does not know of them yet. The lock of the backend guards
 // them.
@@ -32,6 +36,9 @@
 		d.stored = make(chan struct{})
 	}
 	d.unstored, d.obsolete = append(without(d.unstored, left), left...), without(d.obsolete, left)
+	// The log drops the earliest departures, which need not be stored either.
+	known := d.log.All()
+	d.unstored = slices.DeleteFunc(d.unstored, func(u departure.Departure) bool { return !slices.Contains(known, u) })
 }
 
 // remove has departures removed from the store.
@@ -165,6 +172,7 @@
 			continue
 		}
 		backoff = minBackoff
+		request.Sleep(ctx, departureStoreInterval)
 	}
 }
 
