ingress: an early response to a chunked body no longer ends the process

Cause: once the response is written, readLoop reads the next request from the connection while the transport may still be inside a read of the body, on the same bufio.Reader, whose indexes then pass the end of its buffer. Evidence: the race detector names these two stacks.

Change: after a response that was written before the end of its body, readLoop waits for the read in progress and then drops the input. The connection closes with that response anyway.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -23,6 +23,7 @@
 	once            sync.Once
 	reachedEOF      atomic.Bool // whether the end of the body has been read
 	isReleased      atomic.Bool
+	readMu          sync.Mutex // held while the reader of the connection is in use for the body
 }
 
 func newRequestBody(c *connection, r *http.Request, limit int64) *requestBody {
@@ -37,6 +38,8 @@
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
+	b.readMu.Lock()
+	defer b.readMu.Unlock()
 	if b.isReleased.Load() {
 		return 0, http.ErrBodyReadAfterClose
 	}
@@ -74,6 +77,12 @@
 	b.once.Do(func() { close(b.done) })
 }
 
+// awaitRead waits until nothing reads the released body; there are no reads after that.
+func (b *requestBody) awaitRead() {
+	b.readMu.Lock()
+	defer b.readMu.Unlock()
+}
+
 // isComplete reports whether the body has been read to its end.
 func (b *requestBody) isComplete() bool { return b.reachedEOF.Load() }
 
--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -112,6 +112,12 @@
 			case <-c.ctx.Done():
 				return
 			}
+			if !e.body.isComplete() {
+				// The response was written before the end of the body, which the handler may still be reading, and closes the connection.
+				e.body.awaitRead()
+				c.discardInput()
+				return
+			}
 		}
 		if closeAfter {
 			c.awaitClientClose()
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -283,3 +283,57 @@
 	c.Check(err, qt.Equals, io.EOF)
 	c.Check(began, qt.HasLen, 0)
 }
+
+// TestResponseBeforeEndOfBody guards against a process that ends because two goroutines read a connection at the same time: a backend server
+// responded before it had read a chunked body, which is still being passed on to it.
+func TestResponseBeforeEndOfBody(t *testing.T) {
+	c := qt.New(t)
+	var passing errgroup.Group
+	_, conn := startServer(c, func(_ context.Context, r *http.Request) *ingress.Response {
+		passed := make(chan struct{})
+		passing.Go(func() error {
+			buffer := make([]byte, 32<<10)
+			for i := 0; ; i++ {
+				_, err := r.Body.Read(buffer)
+				if i == 0 {
+					close(passed)
+				}
+				if err != nil {
+					return nil // the body is released
+				}
+			}
+		})
+		<-passed
+		return ingress.NewResponse(http.StatusRequestEntityTooLarge, nil, "too large")
+	})
+	address := conn.RemoteAddr().String()
+	chunk := fmt.Sprintf("%x\r\n%s\r\n", 3000, strings.Repeat("0", 3000))
+	var clients errgroup.Group
+	for range 200 {
+		clients.Go(func() error {
+			conn, err := net.Dial("tcp4", address)
+			if err != nil {
+				return err
+			}
+			defer conn.Close()
+			_ = conn.SetDeadline(time.Now().Add(10 * time.Second)) // only stops a hanging test
+			if _, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"); err != nil {
+				return err
+			}
+			for range 30 {
+				if _, err := io.WriteString(conn, chunk); err != nil {
+					return err
+				}
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				return err
+			}
+			_, err = io.Copy(io.Discard, response.Body)
+			c.Check(response.StatusCode, qt.Equals, http.StatusRequestEntityTooLarge)
+			return err
+		})
+	}
+	c.Check(clients.Wait(), qt.IsNil)
+	c.Check(passing.Wait(), qt.IsNil)
+}
