mesh: callers of the control address cannot take the memory of a node

The control, readiness, metrics and inbound listeners took heads of 1 MB, and bodies without a time limit: 400 connections to the control address with heads of half a megabyte each took 351 MB of live heap, with bodies 187 MB (TestManyEndlessCalls before). A process has 284 MB.

Change: heads of at most 16 KB and two seconds for a whole call on the first three, heads of 128 KB on the inbound listener, which has the headers of clients and those of nodes. A configuration of another node has at most 1 MB, as in the store. A log line about a bad call header is cut.

TestManyEndlessCalls failed before in both cases and passes now.

--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -128,15 +128,15 @@
 func (a *attempt) decodeCall(text string) error {
 	fields := strings.SplitN(text, " ", 4)
 	if len(fields) != 4 {
-		return Error.New("call header %q does not have four fields", text)
+		return Error.New("call header %.100q does not have four fields", text)
 	}
 	route, err := strconv.ParseUint(fields[0], 16, 32)
 	if err != nil {
-		return Error.New("call header %q: %v", text, err)
+		return Error.New("call header %.100q: %v", text, err)
 	}
 	rank, err := strconv.ParseUint(fields[1], 10, 8)
 	if err != nil {
-		return Error.New("call header %q: %v", text, err)
+		return Error.New("call header %.100q: %v", text, err)
 	}
 	a.route, a.rank = routing.RouteID(route), routing.Rank(rank)
 	a.isCall = strings.Contains(fields[2], flagCall)
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -37,8 +37,11 @@
 	// successesPerRetry is the number of successful requests that earn one retry. A deployment allows one retry per five
 	// requests at each service; up to two windows of earned retries can meet in one window.
 	successesPerRetry = 25
-	// headerTimeout bounds reading the request headers of other nodes and of control, readiness and metrics calls.
+	// headerTimeout bounds reading the request headers of other nodes, and whole control, readiness and metrics calls.
 	headerTimeout = 2 * time.Second
+	// maxCallHeaderBytes is the maximum size in bytes of the request headers of control, readiness and metrics calls, and
+	// maxAttemptHeaderBytes that of attempts, which have the headers of clients and those of nodes.
+	maxCallHeaderBytes, maxAttemptHeaderBytes = 16 << 10, 128 << 10
 	// idleTimeout closes unused connections between nodes.
 	idleTimeout = 60 * time.Second
 )
@@ -206,13 +209,15 @@
 	}
 	group.Add(func() error { return n.ingress.Serve(outbound) }, func(error) { n.ingress.Close() })
 	for _, s := range []struct {
-		address netip.AddrPort
-		handler http.Handler
+		address        netip.AddrPort
+		handler        http.Handler
+		maxHeaderBytes int
+		readTimeout    time.Duration // 0 if bodies may take as long as their requests
 	}{
-		{n.settings.Inbound, http.HandlerFunc(n.serveAttempt)},
-		{n.settings.Readiness, n.ready(n)},
-		{n.settings.Control, n.control(n)},
-		{n.settings.Metrics, metric.Handler(n.metrics.registry)},
+		{n.settings.Inbound, http.HandlerFunc(n.serveAttempt), maxAttemptHeaderBytes, 0},
+		{n.settings.Readiness, n.ready(n), maxCallHeaderBytes, headerTimeout},
+		{n.settings.Control, n.control(n), maxCallHeaderBytes, headerTimeout},
+		{n.settings.Metrics, metric.Handler(n.metrics.registry), maxCallHeaderBytes, headerTimeout},
 	} {
 		if !s.address.IsValid() {
 			continue
@@ -221,7 +226,9 @@
 		if err != nil {
 			return err
 		}
-		server := &http.Server{Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		server := &http.Server{
+			Handler: s.handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: s.readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: s.maxHeaderBytes,
+		}
 		group.Add(func() error {
 			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				return Error.Wrap(err)
--- a/mesh/watch.go
+++ b/mesh/watch.go
@@ -21,7 +21,7 @@
 	// fetchTimeout bounds fetching a configuration from another node.
 	fetchTimeout = 800 * time.Millisecond
 	// maxConfigurationBytes is the maximum size in bytes of an encoded configuration.
-	maxConfigurationBytes = 4 << 20
+	maxConfigurationBytes = 1 << 20
 	// maxWatchTime is the longest time that a watch waits for a change. The platform allows up to 30 s and charges for each call. Watches end
 	// at random times, so that some node of the fleet soon learns the era of the store in any case.
 	maxWatchTime = 25 * time.Second
