--- a/mesh/endless_test.go
+++ b/mesh/endless_test.go
@@ -309,7 +309,9 @@
 			d := newSerialDeployment(t, ledgerConfiguration(1, birdsRoute()))
 			faulty := d.start("registry", "a", 0)
 			d.waitUntilServing("/birds/1")
-			d.makeEndless(faulty, func(id string) (string, string) { return strings.ReplaceAll(response.head, "%s", id), response.repeated })
+			d.makeEndless(faulty, func(id string) (string, string) {
+				return strings.ReplaceAll(response.head, "%s", id), response.repeated
+			})
 			grown := heapGrowth(func() {
 				var clients errgroup.Group
 				for i := range 20 {
