--- a/soak/client.go
+++ b/soak/client.go
@@ -107,7 +107,7 @@
 		return out
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
+	body, err := standin.ReadBody(response.Body)
 	if err != nil {
 		return out
 	}
--- a/standin/application.go
+++ b/standin/application.go
@@ -170,7 +170,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	body, err := io.ReadAll(r.Body)
+	body, err := ReadBody(r.Body)
 	if err != nil {
 		return
 	}
--- a/standin/backend.go
+++ b/standin/backend.go
@@ -249,7 +249,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	answer, err := io.ReadAll(response.Body)
+	answer, err := ReadBody(response.Body)
 	if err != nil {
 		return err
 	}
--- a/standin/client.go
+++ b/standin/client.go
@@ -119,3 +119,19 @@
 	}
 	return data
 }
+
+// maxAnswerBytes is the largest body in bytes that a stand-in keeps, the limit of the users' deployments on bodies.
+const maxAnswerBytes = 64 << 20
+
+// ReadBody returns a body; the error is of class BackendError if it has more than 64 MiB, so that a fault of the other side does not take the
+// memory of a test.
+func ReadBody(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxAnswerBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, BackendError.New("the body has more than %d bytes", maxAnswerBytes)
+	}
+	return body, nil
+}
