mesh: an attempt that waits at a gate does not run at another service

Cause: the service of an attempt was compared with that of the node on arrival, before the lock; the incarnation that the server checks was read after the wait. Evidence: the record shows the requests run at the new incarnation, which they name as the expected one.

Change: the service is compared under the lock of the incarnation, on arrival and after the wait. Such an attempt is refused as not run.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -125,16 +125,16 @@
 // admit waits in the queue of the gate until the attempt may run. It returns a nil outcome if it may.
 func (b *backend) admit(ctx context.Context, a attempt) (admittedAttempt, outcome) {
 	n := b.node
-	if a.service != "" && a.service != *n.service.Load() {
-		// The sender knows this address from a backend server of another service that had it before.
-		return admittedAttempt{}, notRun{reason: gate.UnknownServer}
-	}
 	n.mergeCrashes(a.crashes)
 	state, remaining := n.quarantineState(a.content)
 	if state == quarantine.Quarantined {
 		return admittedAttempt{}, notRun{reason: gate.Quarantined, wait: remaining}
 	}
 	b.mu.Lock()
+	if b.isForOtherService(a) {
+		b.mu.Unlock()
+		return admittedAttempt{}, notRun{reason: gate.UnknownServer}
+	}
 	b.lastNumber++
 	number := b.lastNumber
 	arrival := gate.Attempt{
@@ -177,6 +177,11 @@
 		return adm, notRun{reason: gate.Quarantined, wait: remaining}
 	}
 	b.mu.Lock()
+	if b.isForOtherService(a) { // the address has changed hands while the attempt waited
+		b.mu.Unlock()
+		b.release(adm, a, 0, false)
+		return adm, notRun{reason: gate.UnknownServer}
+	}
 	b.activity.started++
 	b.activity.waited += n.now().Sub(adm.started)
 	adm.started, adm.incarnation = n.now(), b.lastReport.Instance
@@ -184,6 +189,12 @@
 	return adm, nil
 }
 
+// isForOtherService reports whether the sender knows this address from a backend server of another service that had it before. The caller holds
+// b.mu, so that the answer holds for the incarnation that is current.
+func (b *backend) isForOtherService(a attempt) bool {
+	return a.service != "" && a.service != *b.node.service.Load()
+}
+
 // cancel removes a queued attempt and reports whether it was still queued.
 func (b *backend) cancel(number gate.Number) bool {
 	b.mu.Lock()
--- a/mesh/report_test.go
+++ b/mesh/report_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 )
 
 // sendReport sends a report to the control listener of a machine and returns the status.
@@ -64,3 +65,27 @@
 	d.c.Check(a.node.Report(odd), qt.IsFalse)
 	d.c.Check(d.get(a, "/birds/1", "id").status, qt.Equals, http.StatusOK)
 }
+
+// TestQueuedAttemptOfOtherService guards against an attempt that waits at the gate and then runs at a backend server of another service, which has
+// the address by then.
+func TestQueuedAttemptOfOtherService(t *testing.T) {
+	d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+	m := d.start("registry", "a", 300*time.Millisecond)
+	m.report.Slots, m.report.Sequence = 1, 2
+	d.c.Assert(m.node.Report(m.report), qt.IsTrue)
+	var attempts errgroup.Group
+	var results [6]string
+	for i := range results {
+		attempts.Go(func() error { results[i] = d.sendAttempt(m, registryCall); return nil })
+	}
+	d.eventually("an attempt runs", func() bool { return len(m.application.Runs()) > 0 })
+	first := m.application
+	_ = m.server.Close()
+	m.instance = "i-transfers-9"
+	d.startApplication(m, "transfers", 0)
+	m.report.Instance, m.report.Service, m.report.StartTime, m.report.Sequence = "i-transfers-9", "transfers", time.Now(), 1
+	d.c.Assert(m.node.Report(m.report), qt.IsTrue)
+	d.c.Assert(attempts.Wait(), qt.IsNil)
+	d.c.Check(len(first.Runs()) < len(results), qt.IsTrue) // some attempts waited
+	d.c.Check(m.application.Runs(), qt.HasLen, 0, qt.Commentf("%q", results))
+}
