mesh: a path that begins with two slashes is forwarded unchanged

Cause: the target is passed on as URL.Opaque, and net/url puts the scheme before an opaque part with two leading slashes. The next node parses an absolute target.

Change: such a target is set as path and query if that gives the same bytes; else the request is refused with 400.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -70,6 +70,31 @@
 	d.c.Check(left > 0 && left <= 5*time.Second, qt.IsTrue, qt.Commentf("left %v", left))
 }
 
+// TestPathWithTwoSlashes guards against a path that becomes a host and another path on its way, because it begins with two slashes.
+func TestPathWithTwoSlashes(t *testing.T) {
+	all := routing.Route{
+		ID: routing.IDOf("all"), Name: "all", Host: "ledger.example", Prefix: "/", Services: toService("registry"), IsIdempotent: true, MaxAttempts: 1,
+	}
+	d := newDeployment(t, ledgerConfiguration(1, all))
+	a, b := d.start("transfers", "a", 0), d.start("registry", "a", 0)
+	d.waitUntilServing("/birds/1")
+	targets := []string{"//lanterns/2f?feast=7", "//lanterns/2f", "//", "///x", "//a@b:1/%2Fc?", "/a//b?//c", "//x?y?z=%zz", "/usual?a=//b"}
+	for i, target := range targets {
+		before := len(b.application.Runs())
+		conn, err := net.Dial("tcp4", netip.AddrPortFrom(a.address, d.ports["outbound"]).String())
+		d.c.Assert(err, qt.IsNil)
+		fmt.Fprint(conn, standin.RawApplicationRequest("ledger.example", target, fmt.Sprint("slashes", i), 5*time.Second))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		d.c.Assert(err, qt.IsNil)
+		d.c.Check(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", target))
+		_ = conn.Close()
+		runs := b.application.Runs()[before:]
+		d.c.Assert(runs, qt.HasLen, 1)
+		d.c.Check(runs[0].Target, qt.Equals, target)
+		d.c.Check(runs[0].Host, qt.Equals, "ledger.example")
+	}
+}
+
 // sendAttempt sends an attempt to the gate of a machine as another node does, once the node listens, and returns the result that the
 // gate states.
 func (d *deployment) sendAttempt(m *machine, call string) string {
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"time"
 
 	"github.com/sapphiretack/sapphiretack/fleet"
@@ -63,6 +64,10 @@
 			Msg("no route matches the request")
 		return ingress.NewResponse(http.StatusNotFound, nil, "no route has this host and path\n")
 	}
+	if err := setTarget(&url.URL{}, r.RequestURI); err != nil {
+		n.log.Info().Str("event", "bad_target").Str("host", r.Host).Err(err).Msg("request target cannot be forwarded unchanged; refused with status 400")
+		return ingress.NewResponse(http.StatusBadRequest, nil, err.Error()+"\n")
+	}
 	req := n.newOutboundRequest(r, c, route, arrived)
 	if req.parent == "" {
 		if refused := n.admitRoot(req); refused != nil {
--- a/mesh/transport.go
+++ b/mesh/transport.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"syscall"
 	"time"
@@ -97,13 +98,36 @@
 
 func (oneShotBody) Close() error { return nil }
 
+// setTarget makes net/http send the target as it is; the error is of class Error if it cannot. net/url takes an opaque target that begins with
+// two slashes for a host and a path.
+func setTarget(u *url.URL, target string) error {
+	if !strings.HasPrefix(target, "//") {
+		u.Opaque = target
+		return nil
+	}
+	u.RawPath, u.RawQuery, u.ForceQuery = target, "", strings.HasSuffix(target, "?")
+	if path, query, ok := strings.Cut(target, "?"); ok {
+		u.RawPath, u.RawQuery, u.ForceQuery = path, query, query == ""
+	}
+	var err error
+	if u.Path, err = url.PathUnescape(u.RawPath); err != nil {
+		return Error.Wrap(err)
+	}
+	if u.RequestURI() != target {
+		return Error.New("the path %.100q has characters that a path cannot have", target)
+	}
+	return nil
+}
+
 // newOneShotRequest returns a request that net/http never retries on another connection.
 func newOneShotRequest(ctx context.Context, a attempt, host string) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, a.method, "http://"+host+"/", nil)
 	if err != nil {
 		return nil, err
 	}
-	r.URL.Opaque = a.target
+	if err := setTarget(r.URL, a.target); err != nil {
+		return nil, err
+	}
 	r.Host = a.host
 	r.Header = a.header
 	if _, ok := r.Header["User-Agent"]; !ok {
