mesh: an attempt whose body nobody reads no longer ends the process

Cause: full duplex was enabled for each attempt with a body. If its handler returns without reading the body, net/http reads the rest of it and the next attempt of the connection at the same time. Evidence: the panic "invalid concurrent Body.Read call" once for each refusal, also with nothing else reading the body.

Change: full duplex is enabled only for an attempt that is sent to the backend server. What it leaves unread is read by the handler, up to 256 KB, or the connection is closed.

--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -277,28 +277,39 @@
 		a.crashes = decodeCrashes(r.Header.Get(crashesHeader), a.content)
 	}
 	if r.ContentLength != 0 {
-		controller := http.NewResponseController(w)
-		body := &attemptBody{source: r.Body}
-		defer body.stop(controller)
+		body := &attemptBody{source: r.Body, controller: http.NewResponseController(w)}
+		defer body.stop()
 		a.body, a.length = body, r.ContentLength
-		// The backend server may respond before it has read all of a long body.
-		_ = controller.EnableFullDuplex()
 	}
 	n.writeOutcome(w, n.backend.run(r.Context(), a))
 }
 
 // attemptBody is the body of an attempt from another node. The transport may still be reading it for the backend server when
-// the handler returns; net/http then reads the rest of the same body itself and panics.
+// the handler returns, and part of it may not have been read at all; net/http then reads the rest itself and panics, here or while it reads
+// the next attempt on the connection.
 type attemptBody struct {
-	source    io.Reader
-	mu        sync.Mutex // held during a read of source
-	isStopped atomic.Bool
-	isReading atomic.Bool
+	source     io.Reader
+	controller *http.ResponseController
+	hasBegun   bool       // whether the attempt is sent to the backend server; only the handler uses it
+	mu         sync.Mutex // held during a read of source
+	isAtEnd    bool       // guarded by mu
+	isStopped  atomic.Bool
+	isReading  atomic.Bool
 }
 
 // errBodyStopped is returned by reads of a body whose attempt has ended.
 var errBodyStopped = Error.New("attempt ended before its body was read")
 
+// maxDrainedBytes is the length in bytes of the rest of a body that is read so that its connection can be used again.
+const maxDrainedBytes = 256 << 10
+
+// begin has the outcome sent before the end of the body if it is known by then: the backend server may respond before it has read a
+// long body. The outcome of an attempt that does not begin is sent after its body.
+func (b *attemptBody) begin() {
+	b.hasBegun = true
+	_ = b.controller.EnableFullDuplex() // every connection between nodes is HTTP/1.1, where it cannot fail
+}
+
 // Read implements io.Reader.
 func (b *attemptBody) Read(p []byte) (int, error) {
 	b.mu.Lock()
@@ -308,22 +319,37 @@
 	if b.isStopped.Load() {
 		return 0, errBodyStopped
 	}
-	return b.source.Read(p)
+	n, err := b.source.Read(p)
+	b.isAtEnd = b.isAtEnd || errors.Is(err, io.EOF)
+	return n, err
 }
 
-// stop makes further reads fail. If a read is blocked on the other node, the rest of the body cannot be told from the next
-// attempt, so stop flushes the outcome and aborts the connection.
-func (b *attemptBody) stop(c *http.ResponseController) {
+// stop makes further reads fail. If a read is blocked on the other node, or a long part of the body has not been read, the rest cannot be
+// told from the next attempt, so stop flushes the outcome and aborts the connection.
+func (b *attemptBody) stop() {
 	b.isStopped.Store(true)
-	if !b.isReading.Load() {
-		return
+	if !b.hasBegun {
+		return // net/http reads the body before it sends the outcome
 	}
+	isReading := b.isReading.Load()
 	// An error here means that the connection is already broken, which unblocks the read as well.
-	_ = c.Flush()
-	_ = c.SetReadDeadline(time.Unix(1, 0))
+	_ = b.controller.Flush()
+	if isReading {
+		_ = b.controller.SetReadDeadline(time.Unix(1, 0))
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	panic(http.ErrAbortHandler)
+	if isReading || !b.isAtEnd && !b.drain() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// drain reads the rest of the body and reports whether it has ended.
+func (b *attemptBody) drain() bool {
+	_ = b.controller.SetReadDeadline(time.Now().Add(bodyDrainTimeout))
+	n, err := io.CopyN(io.Discard, b.source, maxDrainedBytes+1)
+	_ = b.controller.SetReadDeadline(time.Time{})
+	return n <= maxDrainedBytes && errors.Is(err, io.EOF)
 }
 
 // writeOutcome sends the outcome of an attempt to the node that sent it.
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -296,6 +296,9 @@
 		cancel()
 		return notRun{reason: gate.UnknownServer}
 	}
+	if body, ok := a.body.(*attemptBody); ok {
+		body.begin()
+	}
 	b.beginAttempt(adm, a.content)
 	response, err := b.transport.Load().RoundTrip(r)
 	if err != nil {
--- a/mesh/body_test.go
+++ b/mesh/body_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -42,9 +44,9 @@
 	var group errgroup.Group
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		controller := http.NewResponseController(w)
-		_ = controller.EnableFullDuplex()
-		body := &attemptBody{source: r.Body}
-		defer body.stop(controller)
+		body := &attemptBody{source: r.Body, controller: controller}
+		body.begin()
+		defer body.stop()
 		group.Go(func() error {
 			_, err := io.ReadAll(body)
 			if err == nil {
@@ -72,3 +74,54 @@
 	c.Check(conn.Close(), qt.IsNil)
 	c.Check(log.text(), qt.Equals, "")
 }
+
+// TestUnreadBody guards against a panic in net/http on the next attempt of a connection, because the handler of an earlier one, which was refused
+// or answered early, has not read its body. It can end the process.
+func TestUnreadBody(t *testing.T) {
+	for name, hasBegun := range map[string]bool{"refused": false, "answered early": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var log lockedBuffer
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				body := &attemptBody{source: r.Body, controller: http.NewResponseController(w)}
+				defer body.stop()
+				if hasBegun {
+					body.begin()
+				}
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			server.Config.ErrorLog = stdlog.New(&log, "", 0)
+			server.Start()
+			c.Cleanup(server.Close)
+			var clients errgroup.Group
+			for range 20 {
+				clients.Go(func() error {
+					conn, err := net.Dial("tcp", server.Listener.Addr().String())
+					if err != nil {
+						return err
+					}
+					defer conn.Close()
+					_ = conn.SetDeadline(time.Now().Add(10 * time.Second)) // bounds a hanging test
+					reader := bufio.NewReader(conn)
+					for range 50 {
+						message := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", 30_000, strings.Repeat("0", 30_000))
+						if _, err := io.WriteString(conn, message); err != nil {
+							return err
+						}
+						response, err := http.ReadResponse(reader, nil)
+						if err != nil {
+							return err
+						}
+						_, _ = io.Copy(io.Discard, response.Body)
+						if response.StatusCode != http.StatusServiceUnavailable {
+							return fmt.Errorf("status %d", response.StatusCode)
+						}
+					}
+					return nil
+				})
+			}
+			c.Check(clients.Wait(), qt.IsNil)
+			c.Check(log.text(), qt.Equals, "")
+		})
+	}
+}
