mesh: an encoded slash in a path does not end a prefix

Cause: the route was chosen by the decoded path, and the path is forwarded as sent.

Change: the route is chosen by the path as sent.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -70,6 +70,30 @@
 	d.c.Check(left > 0 && left <= 5*time.Second, qt.IsTrue, qt.Commentf("left %v", left))
 }
 
+// sendRaw sends a GET request with a target that net/http would change, and returns the status.
+func (d *deployment) sendRaw(m *machine, target, id string) int {
+	conn, err := net.Dial("tcp4", netip.AddrPortFrom(m.address, d.ports["outbound"]).String())
+	d.c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	fmt.Fprint(conn, standin.RawApplicationRequest("ledger.example", target, id, 5*time.Second))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	d.c.Assert(err, qt.IsNil)
+	return response.StatusCode
+}
+
+// TestEncodedSlash guards against a request that runs at the service of another route, because an encoded slash counts as the end of a prefix.
+func TestEncodedSlash(t *testing.T) {
+	all := routing.Route{Name: "all", Prefix: "/", Services: toService("registry"), IsIdempotent: true}
+	d := newDeployment(t, ledgerConfiguration(1, all, ringsRoute()))
+	a, b := d.start("registry", "a", 0), d.start("transfers", "a", 0)
+	d.waitUntilServing("/birds/1")
+	for i, target := range []string{"/rings%2F7", "/rings%2f7", "/%72ings/7", "/rings/7"} {
+		before := len(b.application.Runs())
+		d.c.Check(d.sendRaw(a, target, fmt.Sprint("encoded", i)), qt.Equals, http.StatusOK)
+		d.c.Check(len(b.application.Runs()) > before, qt.Equals, target == "/rings/7", qt.Commentf("%s", target))
+	}
+}
+
 // TestPathWithTwoSlashes guards against a path that becomes a host and another path on its way, because it begins with two slashes.
 func TestPathWithTwoSlashes(t *testing.T) {
 	all := routing.Route{
@@ -81,13 +105,7 @@
 	targets := []string{"//lanterns/2f?feast=7", "//lanterns/2f", "//", "///x", "//a@b:1/%2Fc?", "/a//b?//c", "//x?y?z=%zz", "/usual?a=//b"}
 	for i, target := range targets {
 		before := len(b.application.Runs())
-		conn, err := net.Dial("tcp4", netip.AddrPortFrom(a.address, d.ports["outbound"]).String())
-		d.c.Assert(err, qt.IsNil)
-		fmt.Fprint(conn, standin.RawApplicationRequest("ledger.example", target, fmt.Sprint("slashes", i), 5*time.Second))
-		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		d.c.Assert(err, qt.IsNil)
-		d.c.Check(response.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", target))
-		_ = conn.Close()
+		d.c.Check(d.sendRaw(a, target, fmt.Sprint("slashes", i)), qt.Equals, http.StatusOK, qt.Commentf("%s", target))
 		runs := b.application.Runs()[before:]
 		d.c.Assert(runs, qt.HasLen, 1)
 		d.c.Check(runs[0].Target, qt.Equals, target)
--- a/mesh/source.go
+++ b/mesh/source.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/sapphiretack/sapphiretack/fleet"
@@ -58,7 +59,7 @@
 	if c == nil {
 		return n.refuse(&outboundRequest{attempt: attempt{id: n.headers.ReadRequest(r.Header).ID}}, "no_configuration", startRetryAfter)
 	}
-	route, ok := c.Match(r.Host, r.URL.Path)
+	route, ok := c.Match(r.Host, routedPath(r))
 	if !ok {
 		n.log.Info().Str("event", "no_route").Str("host", r.Host).Str("path", r.URL.Path).Int64("config_version", int64(c.Version)).
 			Msg("no route matches the request")
@@ -100,6 +101,14 @@
 	return response
 }
 
+// routedPath returns the path by which the route is chosen, as the client sent it: an encoded slash is part of a name and separates none.
+func routedPath(r *http.Request) string {
+	if path, _, _ := strings.Cut(r.RequestURI, "?"); strings.HasPrefix(path, "/") {
+		return path
+	}
+	return r.URL.EscapedPath() // of a target with scheme and host
+}
+
 // newOutboundRequest builds the state of a request. A call made by a running request inherits its rank, deadline and retry
 // state.
 func (n *Node) newOutboundRequest(r *http.Request, c *routing.Configuration, route *routing.Route, arrived request.Instant) *outboundRequest {
