mesh: a departure is kept although the clock of the machine was set back

Change: once a connection was refused, the next report of another incarnation is accepted whatever its start time, and the ended one counts as departed. Where the end was not seen, a departure under the current identifier closes the gate until an incarnation that has not left reports.

--- a/departure/departure.go
+++ b/departure/departure.go
@@ -25,14 +25,14 @@
 
 // Incarnation returns the identifier of the incarnation that started at the given time, or id if the start time is unknown.
 func Incarnation(id request.InstanceID, start time.Time) request.InstanceID {
-	if !isKnown(start) {
+	if !IsKnown(start) {
 		return id
 	}
 	return id.WithStart(start)
 }
 
-// isKnown reports whether a start time is known: reports without one have that of the Unix epoch.
-func isKnown(start time.Time) bool { return start.UnixMilli() > 0 }
+// IsKnown reports whether a start time is known: reports without one have that of the Unix epoch.
+func IsKnown(start time.Time) bool { return start.UnixMilli() > 0 }
 
 // IsExpired reports whether a departure is too old to be kept.
 func (d Departure) IsExpired(now time.Time) bool { return now.Sub(d.Time) > Retention }
@@ -44,7 +44,7 @@
 	switch {
 	case left != id:
 		return false
-	case !isKnown(start):
+	case !IsKnown(start):
 		return true
 	case leftStart == "":
 		// The identifier may belong to a later incarnation by now.
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -50,6 +50,7 @@
 	hasSlots        bool   // whether the latest report had a number of slots
 	health          fleet.Health
 	isLeaving       bool // whether the current incarnation is leaving
+	hasEnded        bool // whether nothing has listened at the address since the latest report
 	departures      departures
 	address         netip.AddrPort
 	failures        failureRate
@@ -414,13 +415,17 @@
 			Time("born", r.StartTime).Msg("report ignored: its incarnation has left")
 		return true
 	}
-	if !b.isNewerReport(r) {
+	if !b.hasEnded && !b.isNewerReport(r) {
 		n.log.Info().Str("event", "report_old").Str("instance_id", string(r.Instance)).Int64("sequence", r.Sequence).
 			Time("born", r.StartTime).Str("current", string(b.lastReport.Instance)).Msg("report ignored: it is from an older incarnation or its sequence number is not newer")
 		return true
 	}
 	isNew := r.Instance != b.lastReport.Instance || !r.StartTime.Equal(b.lastReport.StartTime)
 	if isNew {
+		if b.hasEnded && departure.IsKnown(b.lastReport.StartTime) {
+			// Its reports may still arrive, and look newer if the clock was set back.
+			b.departures.log.Add(departure.Departure{Incarnation: departure.Incarnation(b.lastReport.Instance, b.lastReport.StartTime), Time: time.Now()})
+		}
 		if r.Instance != b.lastReport.Instance || !b.lastReport.StartTime.IsZero() {
 			b.recordCrash() // the earlier incarnation may have gone silent without closing its connections
 			b.gate.AwaitFirstResponse()
@@ -434,7 +439,7 @@
 		b.forgetDepartures(r.StartTime)
 	}
 	isFirst := isNew || !b.hasSlots
-	b.lastReport, b.hasSlots = r, r.Slots > 0
+	b.lastReport, b.hasSlots, b.hasEnded = r, r.Slots > 0, false
 	n.service.Store(&r.Service)
 	if r.State == StateLeaving {
 		b.startLeaving(fleet.Departed, "the backend server leaves")
@@ -443,6 +448,9 @@
 	if isFirst {
 		b.gate.StartWarmUp(n.now(), r.WarmUp)
 	}
+	if b.isLeaving && !n.isStopping.Load() && !b.departures.log.Includes(time.Now(), r.Instance, r.StartTime) {
+		b.isLeaving = false // another incarnation under the identifier has left
+	}
 	if !b.isLeaving {
 		b.openGate(r.Slots)
 	}
@@ -527,6 +535,7 @@
 	}
 	b.health = fleet.Down
 	if errors.Is(err, syscall.ECONNREFUSED) {
+		b.hasEnded = true // the clock may be set back before the next incarnation starts, which then does not look later
 		b.recordCrash()
 	}
 	b.applyActions(b.gate.Close(gate.Down))
--- a/mesh/departure.go
+++ b/mesh/departure.go
@@ -66,9 +66,9 @@
 // depart records that an incarnation of the backend server leaves, whichever is the current one. The caller holds b.mu.
 func (b *backend) depart(id request.InstanceID, start time.Time, reason string) {
 	if id == b.lastReport.Instance {
-		if departure.Incarnation(id, start) == id {
+		if !departure.IsKnown(start) {
 			start = b.lastReport.StartTime
-		} else if departure.Incarnation(id, b.lastReport.StartTime) == id {
+		} else if !departure.IsKnown(b.lastReport.StartTime) {
 			b.lastReport.StartTime = start // a health check was first to find the incarnation
 		}
 	}
@@ -78,6 +78,10 @@
 		wake(b.node.departureUnstored)
 	}
 	b.closeIfDeparted(reason)
+	if id == b.lastReport.Instance && !b.isLeaving {
+		// Start times do not tell for certain which one runs if the clock was set back. A report of one that has not left opens the gate again.
+		b.startLeaving(fleet.Leaving, reason)
+	}
 }
 
 // closeIfDeparted starts to close the gate if the current incarnation has left. The caller holds b.mu.
--- a/mesh/departure_test.go
+++ b/mesh/departure_test.go
@@ -222,3 +222,40 @@
 		})
 	}
 }
+
+// TestDepartureAfterClockStep guards against a backend server that leaves and goes on getting requests, because the clock of its machine was set
+// back before it started, so that it looks older than the incarnation before it; and against one that is out of service for good because an
+// earlier one under its identifier says late that it leaves.
+func TestDepartureAfterClockStep(t *testing.T) {
+	for name, isSeen := range map[string]bool{"end was seen": true, "end was not seen": false} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+			d.logOnFailure(t)
+			m := d.start("registry", "a", 0)
+			d.start("registry", "a", 0)
+			d.waitUntilServing("/birds/1")
+			earlier := m.report
+			_ = m.server.Close()
+			if isSeen {
+				d.eventually("the gate is closed", func() bool { return strings.HasPrefix(d.sendAttempt(m, registryCall), "not_run down") })
+			}
+			d.startApplication(m, "registry", 0)
+			m.report.StartTime, m.report.Sequence = earlier.StartTime.Add(-2*time.Second), 1
+			d.c.Assert(m.node.Report(m.report), qt.IsTrue)
+			d.eventually("the gate is open", func() bool { return strings.HasPrefix(d.sendAttempt(m, registryCall), "answered") })
+			m.report.State, m.report.Sequence = mesh.StateLeaving, 2
+			d.c.Assert(m.node.Report(m.report), qt.IsTrue)
+			d.eventually("the gate refuses", func() bool { return strings.HasPrefix(d.sendAttempt(m, registryCall), "not_run leaving") })
+			time.Sleep(m.settings.DrainTime)
+			d.checkClosed(m)
+			earlier.Sequence = 9
+			d.c.Assert(m.node.Report(earlier), qt.IsTrue)
+			if isSeen {
+				d.checkClosed(m)
+				return
+			}
+			// The node cannot know which of the two runs; this one has not left.
+			d.eventually("the gate is open again", func() bool { return strings.HasPrefix(d.sendAttempt(m, registryCall), "answered") })
+		})
+	}
+}
