--- a/mesh/endless_test.go
+++ b/mesh/endless_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -20,20 +19,6 @@
 	"github.com/sapphiretack/sapphiretack/standin"
 )
 
-// sendEndlessly sends head, then repeats until the other side closes the connection, and returns the number of bytes that it has taken. The
-// deadline only stops a hanging test.
-func sendEndlessly(conn net.Conn, head, repeated string) int {
-	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
-	chunk := strings.Repeat(repeated, 1+(16<<10)/len(repeated))
-	sent, err := io.WriteString(conn, head)
-	for err == nil {
-		var n int
-		n, err = io.WriteString(conn, chunk)
-		sent += n
-	}
-	return sent
-}
-
 // maxTaken is above what the buffers of a connection hold, in bytes, and far below the memory of a node.
 const maxTaken = 16 << 20
 
@@ -58,7 +43,7 @@
 		} {
 			conn, err := net.Dial("tcp4", address)
 			d.c.Assert(err, qt.IsNil)
-			taken := sendEndlessly(conn, request.head, request.repeated)
+			taken := standin.SendEndlessly(conn, request.head, request.repeated)
 			_ = conn.Close()
 			d.c.Check(taken < maxTaken, qt.IsTrue, qt.Commentf("%s, %s: %d bytes", listener, name, taken))
 		}
@@ -80,7 +65,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			message := head + strings.Repeat("0", bytesEach)
-			grown := heapGrowth(func() {
+			grown := standin.HeapGrowth(func() {
 				var senders errgroup.Group
 				for range connections {
 					conn, err := net.Dial("tcp4", address)
@@ -93,7 +78,7 @@
 					})
 				}
 				d.c.Assert(senders.Wait(), qt.IsNil)
-				time.Sleep(100 * time.Millisecond) // heapGrowth sees all connections at their largest
+				time.Sleep(100 * time.Millisecond) // HeapGrowth sees all connections at their largest
 			})
 			qt.Check(t, grown < maxHeapGrowth, qt.IsTrue, qt.Commentf("heap grew by %d MB", grown>>20))
 			qt.Check(t, d.get(m, "/birds/1", "after-"+name).status, qt.Equals, http.StatusOK)
@@ -130,7 +115,7 @@
 			}
 			d.group.Go(func() error {
 				defer c.Close()
-				taken := int64(sendEndlessly(c, head, repeated))
+				taken := int64(standin.SendEndlessly(c, head, repeated))
 				f.served.Add(1)
 				for old := f.taken.Load(); taken > old && !f.taken.CompareAndSwap(old, taken); old = f.taken.Load() {
 				}
@@ -176,32 +161,6 @@
 	return response.StatusCode
 }
 
-// heapGrowth returns by how many bytes the live heap grew at most while f ran, seen at short intervals.
-func heapGrowth(f func()) uint64 {
-	var before, now runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	var largest atomic.Uint64
-	stopped := make(chan struct{})
-	var group errgroup.Group
-	group.Go(func() error {
-		for {
-			runtime.GC()
-			runtime.ReadMemStats(&now)
-			largest.Store(max(largest.Load(), now.HeapAlloc-min(now.HeapAlloc, before.HeapAlloc)))
-			select {
-			case <-stopped:
-				return nil
-			case <-time.After(20 * time.Millisecond):
-			}
-		}
-	})
-	f()
-	close(stopped)
-	_ = group.Wait() // returns no error
-	return largest.Load()
-}
-
 // maxHeapGrowth is below half of the memory of a process on the users' platform, in bytes.
 const maxHeapGrowth = 128 << 20
 
@@ -227,7 +186,7 @@
 			f := d.startFaultyNode(client, "registry", response.head, response.repeated)
 			d.eventually("the configuration is fetched from the faulty node", func() bool { return f.served.Load() > 0 })
 			d.c.Check(f.taken.Load() < maxTaken, qt.IsTrue, qt.Commentf("%d bytes of configuration", f.taken.Load()))
-			grown := heapGrowth(func() {
+			grown := standin.HeapGrowth(func() {
 				var clients errgroup.Group
 				for i := range 20 {
 					clients.Go(func() error {
@@ -264,7 +223,7 @@
 					return nil // a connection that the node opened to see whether the server lives
 				}
 				head, repeated := respond(r.Header.Get("X-Request-Id"))
-				sendEndlessly(conn, head, repeated)
+				standin.SendEndlessly(conn, head, repeated)
 				return nil
 			})
 		}
@@ -280,7 +239,7 @@
 	reader.Go(func() error { _, err := io.Copy(io.Discard, conn); return err })
 	head := fmt.Sprintf("POST /birds/1 HTTP/1.1\r\nHost: ledger.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nTransfer-Encoding: chunked\r\n\r\n",
 		id, timeout.Milliseconds())
-	sendEndlessly(conn, head, "1000\r\n"+strings.Repeat("0", 0x1000)+"\r\n")
+	standin.SendEndlessly(conn, head, "1000\r\n"+strings.Repeat("0", 0x1000)+"\r\n")
 	_ = conn.Close()
 	_ = reader.Wait() // the connection has ended
 }
@@ -312,7 +271,7 @@
 			d.makeEndless(faulty, func(id string) (string, string) {
 				return strings.ReplaceAll(response.head, "%s", id), response.repeated
 			})
-			grown := heapGrowth(func() {
+			grown := standin.HeapGrowth(func() {
 				var clients errgroup.Group
 				for i := range 20 {
 					clients.Go(func() error { d.discard(faulty, fmt.Sprint("id", i), 300*time.Millisecond); return nil })
--- a/node/endless_test.go
+++ b/node/endless_test.go
@@ -4,12 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/binary"
-	"io"
 	"net"
 	"net/http"
-	"net/netip"
 	"net/url"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -20,13 +17,14 @@
 	"github.com/sapphiretack/sapphiretack/operator"
 	"github.com/sapphiretack/sapphiretack/peer"
 	"github.com/sapphiretack/sapphiretack/request"
+	"github.com/sapphiretack/sapphiretack/standin"
 )
 
 // maxGrowth bounds what the live heap may grow by while one side sends without end, in bytes; users give a node 256 MB for control.
 const maxGrowth = 64 << 20
 
-// startEndless starts a server that sends head, then repeats without end, to each of its callers, whatever they send.
-func startEndless(t *testing.T, head, repeated []byte) string {
+// startEndless starts a server that sends head, then repeated without end, to each of its callers, and returns its address.
+func startEndless(t *testing.T, head, repeated string) string {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	var group errgroup.Group
@@ -34,54 +32,10 @@
 		_ = l.Close()
 		_ = group.Wait() // the connections have ended
 	})
-	chunk := bytes.Repeat(repeated, 1+(16<<10)/len(repeated))
-	group.Go(func() error {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return nil // the test has ended
-			}
-			group.Go(func() error { _, _ = io.Copy(io.Discard, conn); return nil })
-			group.Go(func() error {
-				defer conn.Close()
-				_ = conn.SetDeadline(time.Now().Add(20 * time.Second)) // only stops a hanging test
-				_, err := conn.Write(head)
-				for err == nil {
-					_, err = conn.Write(chunk)
-				}
-				return nil
-			})
-		}
-	})
+	standin.ServeEndlessly(l, &group, head, repeated)
 	return l.Addr().String()
 }
 
-// liveGrowth returns by how many bytes the live heap grew at most while f ran, seen at short intervals.
-func liveGrowth(f func()) uint64 {
-	var before, now runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	largest := uint64(0)
-	stopped := make(chan struct{})
-	var group errgroup.Group
-	group.Go(func() error {
-		for {
-			runtime.GC()
-			runtime.ReadMemStats(&now)
-			largest = max(largest, now.HeapAlloc-min(now.HeapAlloc, before.HeapAlloc))
-			select {
-			case <-stopped:
-				return nil
-			case <-time.After(20 * time.Millisecond):
-			}
-		}
-	})
-	f()
-	close(stopped)
-	_ = group.Wait() // returns no error
-	return largest
-}
-
 // frame returns an HTTP/2 frame.
 func frame(kind, flags byte, stream uint32, payload []byte) []byte {
 	head := []byte{byte(len(payload) >> 16), byte(len(payload) >> 8), byte(len(payload)), kind, flags}
@@ -115,10 +69,10 @@
 		"empty data":        {append(settings, answered...), frame(frameData, 0, 1, nil)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := startEndless(t, test.head, test.repeated)
+			address := startEndless(t, string(test.head), string(test.repeated))
 			p := newPeers()
 			defer p.close()
-			grown := liveGrowth(func() {
+			grown := standin.HeapGrowth(func() {
 				var calls errgroup.Group
 				for range 20 {
 					calls.Go(func() error {
@@ -154,10 +108,10 @@
 		"redirects":         {"HTTP/1.1 307 Temporary Redirect\r\nLocation: /again\r\n\r\n", "0"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			u, err := url.Parse("http://" + startEndless(t, []byte(test.head), []byte(test.repeated)))
+			u, err := url.Parse("http://" + startEndless(t, test.head, test.repeated))
 			qt.Assert(t, err, qt.IsNil)
 			b := newBackend(u, 100)
-			grown := liveGrowth(func() {
+			grown := standin.HeapGrowth(func() {
 				var calls errgroup.Group
 				for range 20 {
 					calls.Go(func() error {
@@ -188,11 +142,9 @@
 		"error":   {"HTTP/1.1 503 Service Unavailable\r\n\r\n", " "},
 	} {
 		t.Run(name, func(t *testing.T) {
-			address := startEndless(t, []byte(test.head), []byte(test.repeated))
-			_, err := netip.ParseAddrPort(address)
-			qt.Assert(t, err, qt.IsNil)
+			address := startEndless(t, test.head, test.repeated)
 			client := operator.NewClient([]string{address}, &http.Client{Timeout: time.Second})
-			grown := liveGrowth(func() {
+			grown := standin.HeapGrowth(func() {
 				_, err := client.Status(t.Context())
 				qt.Check(t, err, qt.IsNotNil)
 			})
