mesh: reading many departures keeps the latest, and removals are written in parts

Found when the diff was read: a node with more than 16 departures in the store kept those with the last keys, not the latest, and one with more than 100 expired ones would have written a transaction that the store refuses, and none of its later departures. A late report of the incarnation that has ended was accepted although its sequence number was lower.

TestManyDepartures covers the first two.

--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -415,7 +415,7 @@
 			Time("born", r.StartTime).Msg("report ignored: its incarnation has left")
 		return true
 	}
-	if !b.hasEnded && !b.isNewerReport(r) {
+	if !b.isNewerReport(r) {
 		n.log.Info().Str("event", "report_old").Str("instance_id", string(r.Instance)).Int64("sequence", r.Sequence).
 			Time("born", r.StartTime).Str("current", string(b.lastReport.Instance)).Msg("report ignored: it is from an older incarnation or its sequence number is not newer")
 		return true
@@ -468,10 +468,12 @@
 }
 
 // isNewerReport reports whether r is newer than the latest report by start time and sequence number: reports can arrive out
-// of order.
+// of order. One of another incarnation than that which has ended is newer in any case.
 func (b *backend) isNewerReport(r Report) bool {
 	c := b.lastReport
 	switch {
+	case b.hasEnded && (r.Instance != c.Instance || !r.StartTime.Equal(c.StartTime)):
+		return true
 	case r.StartTime.Before(c.StartTime):
 		return false
 	case r.StartTime.After(c.StartTime), r.Instance != c.Instance:
--- a/mesh/departure.go
+++ b/mesh/departure.go
@@ -15,6 +15,8 @@
 	departureStoreTime = 500 * time.Millisecond
 	// departureStoreInterval is the minimum time between writes of departures, which a faulty backend server could announce for ever.
 	departureStoreInterval = 100 * time.Millisecond
+	// maxRemovedDepartures is the number of departures that are removed at once. The store bounds the size of a transaction.
+	maxRemovedDepartures = 64
 )
 
 // departures are those of the backend servers beside the node, and what the store does not know of them yet. The lock of the backend guards
@@ -188,6 +190,8 @@
 			n.log.Info().Str("event", "departures_unread").Err(err).Msg("cannot read the departures of the backend server from the store; retrying")
 			continue
 		}
+		// The log keeps those that are learned last.
+		slices.SortFunc(stored, func(a, b departure.Departure) int { return a.Time.Compare(b.Time) })
 		b := n.backend
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -209,7 +213,11 @@
 func (n *Node) writeDepartures(ctx context.Context) error {
 	b := n.backend
 	b.mu.Lock()
-	added, removed := slices.Clone(b.departures.unstored), slices.Clone(b.departures.obsolete)
+	added := slices.Clone(b.departures.unstored)
+	removed := slices.Clone(b.departures.obsolete[:min(len(b.departures.obsolete), maxRemovedDepartures)])
+	if len(removed) < len(b.departures.obsolete) {
+		wake(n.departureUnstored)
+	}
 	b.mu.Unlock()
 	if len(added)+len(removed) == 0 {
 		return nil
--- a/mesh/departure_test.go
+++ b/mesh/departure_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/sapphiretack/sapphiretack/departure"
 	"github.com/sapphiretack/sapphiretack/mesh"
 	"github.com/sapphiretack/sapphiretack/request"
 	"github.com/sapphiretack/sapphiretack/standin"
@@ -259,3 +260,30 @@
 		})
 	}
 }
+
+// TestManyDepartures guards against a departure that is dropped at the start of a node because the store has many others of its machine, and
+// against a write of more removals than the store takes at once.
+func TestManyDepartures(t *testing.T) {
+	d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+	d.logOnFailure(t)
+	leaving := d.start("registry", "a", 0)
+	d.waitUntilServing("/birds/1")
+	d.depart(leaving, "delete")
+	leaving.stopNode()
+	now := time.Now()
+	var others []departure.Departure
+	for i := range 200 {
+		age := time.Duration(1+i) * time.Minute // most have expired
+		others = append(others, departure.Departure{Incarnation: request.InstanceID(fmt.Sprint("odd", i)), Time: now.Add(-age)})
+	}
+	d.c.Assert(d.store.WriteDepartures(t.Context(), leaving.address, others, nil), qt.IsNil)
+	d.store.mu.Lock()
+	d.store.limitsWrites = true
+	d.store.mu.Unlock()
+	d.startNode(leaving) // hears the late report at once
+	d.eventually("the gate refuses", func() bool { return strings.HasPrefix(d.sendAttempt(leaving, registryCall), "not_run leaving") })
+	d.eventually("expired departures are removed", func() bool {
+		kept, err := d.store.Departures(t.Context(), leaving.address)
+		return err == nil && len(kept) <= 61
+	})
+}
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -43,6 +43,8 @@
 	// departures are those written for each node.
 	departures map[netip.Addr][]departure.Departure
 	isDown     bool
+	// limitsWrites is set if a write of more than 100 departures fails, as at the platform.
+	limitsWrites bool
 	// registrations counts the calls of Register.
 	registrations int
 }
@@ -171,6 +173,9 @@
 	if d.isDown {
 		return mesh.Error.New("the store is down")
 	}
+	if len(added)+len(removed) > 100 && d.limitsWrites {
+		return mesh.Error.New("the transaction has more than 100 entries")
+	}
 	kept := slices.DeleteFunc(d.departures[node], func(k departure.Departure) bool { return slices.Contains(removed, k) })
 	d.departures[node] = append(kept, added...)
 	return nil
