standin: senders without end send more than any test allows to be kept

Change: they pause after 256 MB, above the largest bound of a test, and the heap is looked at every 20 ms again.

--- a/fleet/entry.go
+++ b/fleet/entry.go
@@ -17,7 +17,7 @@
 const (
 	Absent   Health = iota // no backend server has reported to the node
 	Serving                // the backend server accepts requests
-	Leaving                // the node is shutting down; earlier versions tell this also of a backend server that has left
+	Leaving                // no new requests for now: the node is shutting down, or it is not certain which incarnation leaves
 	Down                   // the backend server does not accept connections
 	Departed               // the backend server has announced that it leaves, which holds for the rest of its incarnation
 )
--- a/standin/endless.go
+++ b/standin/endless.go
@@ -15,12 +15,12 @@
 	endlessTimeout = 20 * time.Second
 	// endlessChunkBytes is the number of bytes that are sent at once.
 	endlessChunkBytes = 16 << 10
-	// endlessBurstBytes is the number of bytes that are sent as fast as the other side takes them, and endlessPause the time between chunks
-	// after that, so that a test leaves the processor to others.
-	endlessBurstBytes = 8 << 20
+	// endlessBurstBytes is the number of bytes that are sent as fast as the other side takes them. It exceeds what any test allows a process
+	// to keep. After that there is endlessPause between chunks, so that a test leaves the processor to others.
+	endlessBurstBytes = 256 << 20
 	endlessPause      = time.Millisecond
 	// heapInterval is the time between two looks at the heap.
-	heapInterval = 50 * time.Millisecond
+	heapInterval = 20 * time.Millisecond
 )
 
 // SendEndlessly sends head, then repeated without end, until the other side closes the connection, and returns the number of bytes that it has
