review: case 6, a report without a zone changes the service of an upstream

The second review's lab (review/lab-2) starts nodes as processes on loopback addresses, with stand-ins for the store, the upstreams and the clients. Case 6 sends one liveness report that lacks a field and names another service. The node takes it for its upstream's, so that requests run at a service to which no config sends them (ROUTE).

--- /dev/null
+++ b/review/lab-2/cases.go
@@ -0,0 +1,288 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// workOf returns a time of work that varies by half of its mean.
+func workOf(mean time.Duration) func() time.Duration {
+	return func() time.Duration { return mean/2 + time.Duration(rand.Int64N(int64(mean))) }
+}
+
+// The two routes of most cases: each leads to a service of its own.
+const (
+	hostA, prefixA, serviceA = "hulo84.example", "/leny950/", "huvo11a"
+	hostB, prefixB, serviceB = "jepu9.example", "/puka111/", "wuno96b"
+)
+
+// twoRoutes returns a safe route to serviceA and an unsafe one to serviceB.
+func twoRoutes() []route {
+	return []route{
+		{name: "r-n2ctnfz", host: hostA, prefix: prefixA, kind: "safe", service: serviceA, timeoutMs: 1200, targetMs: 1500, priority: 2},
+		{name: "r-s989anu", host: hostB, prefix: prefixB, kind: "unsafe", service: serviceB, timeoutMs: 5000, targetMs: 2000, priority: 0},
+	}
+}
+
+// start starts the machines with twoRoutes in force, and waits until all are ready and their upstreams have reported.
+func (l *lab) start() error {
+	if err := l.putConfig(7, twoRoutes(), []string{serviceA, serviceB}); err != nil {
+		return err
+	}
+	if err := l.startAll(); err != nil {
+		return err
+	}
+	if err := l.awaitReady(10 * time.Second); err != nil {
+		return err
+	}
+	time.Sleep(2 * time.Second)
+	return nil
+}
+
+// origins has the machine at which each request began, by the id of the request.
+type origins struct {
+	mu      sync.Mutex
+	machine map[string]*machine
+}
+
+func (o *origins) add(id string, m *machine) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.machine == nil {
+		o.machine = map[string]*machine{}
+	}
+	o.machine[id] = m
+}
+
+// traffic sends requests of both routes at all machines in turn, and returns where each one began and how many were served.
+func (l *lab) traffic(ctx context.Context, interval, limit time.Duration) (*origins, int) {
+	var o origins
+	var mu sync.Mutex
+	served := 0
+	every(ctx, interval, limit, func(i int) {
+		m := l.machines[i%len(l.machines)]
+		c := clientRequest{id: newID(), method: http.MethodGet, host: hostA, path: prefixA + "2f", budget: 5 * time.Second}
+		if i/len(l.machines)%2 == 1 {
+			c.method, c.host, c.path, c.body = http.MethodPost, hostB, prefixB+"2f", strings.Repeat("x", 4000)
+		}
+		o.add(c.id, m)
+		if r := m.send(c); r.status == http.StatusOK && r.id == c.id {
+			mu.Lock()
+			served++
+			mu.Unlock()
+		}
+	})
+	return &o, served
+}
+
+// checkRoute returns the requests that ran at a service to which no config sends them.
+func checkRoute(runs []run) verdict {
+	var out verdict
+	for _, r := range runs {
+		if r.host == hostA && r.service != serviceA || r.host == hostB && r.service != serviceB {
+			out = append(out, fmt.Sprintf("ROUTE: request %s for %s%s ran at %s, an upstream of %s", r.id, r.host, r.path, r.upstream, r.service))
+		}
+	}
+	return out
+}
+
+// checkCaller returns the requests that ran with another caller than the service of the machine where they began.
+func checkCaller(runs []run, o *origins) verdict {
+	var out verdict
+	for _, r := range runs {
+		if m := o.machine[r.id]; m != nil && r.caller != m.service {
+			out = append(out, fmt.Sprintf("UNASKED: request %s began at a machine of %s and ran with X-Caller-Service %q", r.id, m.service, r.caller))
+		}
+	}
+	return out
+}
+
+// fourMachines adds two machines of each service.
+func (l *lab) fourMachines() {
+	for _, service := range []string{serviceA, serviceB} {
+		for range 2 {
+			l.addMachine("plovdiv-a", service, 108, workOf(100*time.Millisecond))
+		}
+	}
+}
+
+// foreignReport sends one report that lacks a field and names another service than that of the upstream.
+func foreignReport(ctx context.Context, l *lab) (verdict, error) {
+	l.fourMachines()
+	if err := l.start(); err != nil {
+		return nil, err
+	}
+	timer := time.AfterFunc(3*time.Second, func() {
+		if !l.trouble {
+			return
+		}
+		u := l.machines[0].upstream
+		body := u.report("ready")
+		body["service"] = serviceB
+		delete(body, "zone")
+		status := putReport(u.control, u.id, body)
+		l.note("another writer reported %v without a zone to node 1; answered %d", body, status)
+	})
+	defer timer.Stop()
+	o, served := l.traffic(ctx, 20*time.Millisecond, 10*time.Second)
+	if served == 0 {
+		return nil, fmt.Errorf("%w: nothing was served", errCannotRun)
+	}
+	runs, _ := l.copies()
+	return append(checkRoute(runs), checkCaller(runs, o)...), nil
+}
+
+// reportBeforeConfig sends one report of a service that is in no config, before the operator has written the first config.
+func reportBeforeConfig(ctx context.Context, l *lab) (verdict, error) {
+	l.fourMachines()
+	if err := l.startAll(); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	if l.trouble {
+		u := l.machines[0].upstream
+		body := u.report("ready")
+		body["service"], body["born"], body["seq"] = "zz-unknown", time.Now().UnixMilli(), 1
+		status := putReport(u.control, fmt.Sprintf("i-%08x", rand.Uint32()), body)
+		l.note("another writer reported %v to node 1; answered %d", body, status)
+	}
+	time.Sleep(2 * time.Second)
+	if err := l.putConfig(7, twoRoutes(), []string{serviceA, serviceB}); err != nil {
+		return nil, err
+	}
+	if err := l.awaitReady(10 * time.Second); err != nil {
+		return nil, err
+	}
+	time.Sleep(4 * time.Second) // clients come 8 s after the machines
+	o, served := l.traffic(ctx, 20*time.Millisecond, 10*time.Second)
+	if served == 0 {
+		return nil, fmt.Errorf("%w: nothing was served", errCannotRun)
+	}
+	runs, _ := l.copies()
+	return checkCaller(runs, o), nil
+}
+
+const (
+	// slowFactor, slowTime and leaveShare are the largest figures that the site files give for upstreams that turn slow and for clients that
+	// leave; clients may leave up to half of the objective after they have sent their request.
+	slowFactor = 12
+	slowTime   = 9 * time.Second
+	leaveShare = 0.3
+	// leaveTime is when the clients that leave have done so.
+	leaveTime = 150 * time.Millisecond
+	// slowdowns is the number of times that an upstream turns slow.
+	slowdowns = 4
+)
+
+// leftInQueue has clients leave while their requests, which have bodies, wait in the queue of an upstream that has turned slow.
+func leftInQueue(ctx context.Context, l *lab) (verdict, error) {
+	l.addMachine("plovdiv-a", serviceA, 42, workOf(100*time.Millisecond))
+	var slow atomic.Int64 // the upstream that is slow, from 1, or 0
+	usualWork := workOf(330 * time.Millisecond)
+	for i := range int64(3) {
+		l.addMachine("plovdiv-a", serviceB, 42, func() time.Duration {
+			if slow.Load() == i+1 {
+				return slowFactor * usualWork()
+			}
+			return usualWork()
+		})
+	}
+	if err := l.start(); err != nil {
+		return nil, err
+	}
+	var mu sync.Mutex
+	left := map[string]time.Time{}
+	send := func(leaves bool) {
+		c := clientRequest{id: newID(), method: http.MethodPost, host: hostB, path: prefixB + "2f", body: strings.Repeat("x", 4000), budget: 5 * time.Second}
+		if leaves {
+			c.leaveAfter = time.Duration(rand.Int64N(int64(leaveTime)))
+		}
+		if r := l.machines[0].send(c); !r.left.IsZero() {
+			mu.Lock()
+			left[c.id] = r.left
+			mu.Unlock()
+		}
+	}
+	const interval = 3500 * time.Microsecond // 286 a second, where 381 a second fit
+	every(ctx, interval, 4*time.Second, func(int) { send(false) })
+	for i := range int64(slowdowns) {
+		if l.trouble {
+			slow.Store(1 + i%3)
+			l.note("upstream %s turns slow, and clients leave", l.machines[slow.Load()].upstream.id)
+		}
+		every(ctx, interval, slowTime, func(int) { send(l.trouble && rand.Float64() < leaveShare) })
+		slow.Store(0)
+		l.note("no trouble")
+		every(ctx, interval, 5*time.Second, func(int) { send(false) })
+	}
+	time.Sleep(2 * time.Second)
+	_, arrivals := l.copies()
+	var out verdict
+	for id, at := range left {
+		for _, a := range arrivals[id] {
+			if late := a.Sub(at); late > 500*time.Millisecond {
+				out = append(out, fmt.Sprintf("GONE: request %s reached an upstream %v after its client had closed its connection", id, late))
+			}
+		}
+	}
+	l.note("%d clients left, the requests of %d reached an upstream over half a second later", len(left), len(out))
+	if len(out) <= aFew {
+		return nil, nil
+	}
+	return out, nil
+}
+
+// aFew is what the rule GONE calls a few requests.
+const aFew = 5
+
+// lateReport kills a node once, and lets a report of an upstream that crashed earlier at the same address arrive after the node has started
+// again.
+func lateReport(ctx context.Context, l *lab) (verdict, error) {
+	l.fourMachines()
+	last := l.machines[len(l.machines)-1]
+	if err := l.start(); err != nil {
+		return nil, err
+	}
+	var group errgroup.Group
+	if l.trouble {
+		group.Go(func() error {
+			time.Sleep(3 * time.Second)
+			for seq := last.upstream.seq.Load(); last.upstream.seq.Load() == seq; {
+				time.Sleep(time.Millisecond)
+			}
+			time.Sleep(100 * time.Millisecond) // the report has been answered
+			last.kill()
+			if err := last.startNode(false); err != nil {
+				return err
+			}
+			body := last.upstream.report("ready")
+			last.upstream.seq.Add(-1) // the other upstream counts its reports itself
+			body["service"], body["seq"], body["born"] = serviceA, 40, l.begun.Add(-time.Minute).UnixMilli()
+			id := fmt.Sprintf("i-%08x", rand.Uint32())
+			for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+				if status := putReport(last.upstream.control, id, body); status != 0 {
+					l.note("late report %v of %s to node %d; answered %d", body, id, last.index+1, status)
+					return nil
+				}
+			}
+			return fmt.Errorf("%w: node %d did not answer", errCannotRun, last.index+1)
+		})
+	}
+	o, served := l.traffic(ctx, 10*time.Millisecond, 8*time.Second)
+	if err := group.Wait(); err != nil {
+		return nil, err
+	}
+	if served == 0 {
+		return nil, fmt.Errorf("%w: nothing was served", errCannotRun)
+	}
+	runs, _ := l.copies()
+	return append(checkRoute(runs), checkCaller(runs, o)...), nil
+}
