review: case 10, a full pipeline hides that its client has left

A connection with more than 16 requests pending is not read, so that its end is not seen, and upstreams work on for a client that has left (GONE).

--- a/review/lab-2/cases.go
+++ b/review/lab-2/cases.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -27,7 +30,7 @@
 // twoRoutes returns a safe route to serviceA and an unsafe one to serviceB.
 func twoRoutes() []route {
 	return []route{
-		{name: "r-n2ctnfz", host: hostA, prefix: prefixA, kind: "safe", service: serviceA, timeoutMs: 1200, targetMs: 1500, priority: 2},
+		{name: "r-n2ctnfz", host: hostA, prefix: prefixA, kind: "safe", service: serviceA, timeoutMs: 3000, targetMs: 1500, priority: 2},
 		{name: "r-s989anu", host: hostB, prefix: prefixB, kind: "unsafe", service: serviceB, timeoutMs: 5000, targetMs: 2000, priority: 0},
 	}
 }
@@ -286,3 +289,107 @@
 	runs, _ := l.copies()
 	return append(checkRoute(runs), checkCaller(runs, o)...), nil
 }
+
+// pipelineDepth is the number of requests that a client has sent before it leaves.
+const pipelineDepth = 20
+
+// leftPipeline has clients leave that have sent several safe requests before the first one was answered.
+func leftPipeline(ctx context.Context, l *lab) (verdict, error) {
+	for range 4 {
+		l.addMachine("plovdiv-a", serviceA, 108, workOf(1500*time.Millisecond))
+	}
+	if err := l.putConfig(7, twoRoutes(), []string{serviceA, serviceB}); err != nil {
+		return nil, err
+	}
+	if err := l.startAll(); err != nil {
+		return nil, err
+	}
+	if err := l.awaitReady(10 * time.Second); err != nil {
+		return nil, err
+	}
+	time.Sleep(2 * time.Second)
+	var mu sync.Mutex
+	left := map[string]time.Time{}
+	every(ctx, 125*time.Millisecond, 10*time.Second, func(i int) {
+		ids, at := l.machines[i%len(l.machines)].pipeline(ctx, pipelineDepth, l.trouble && i%3 == 0)
+		mu.Lock()
+		defer mu.Unlock()
+		for _, id := range ids {
+			if !at.IsZero() {
+				left[id] = at
+			}
+		}
+	})
+	time.Sleep(2 * time.Second)
+	_, arrivals := l.copies()
+	l.mu.Lock()
+	late, long, atWork := 0, 0, 0
+	for id, at := range left {
+		for _, a := range arrivals[id] {
+			if a.Sub(at) > 500*time.Millisecond {
+				late++
+			}
+		}
+		for _, s := range l.spans[id] {
+			if s.due.Sub(at) > 500*time.Millisecond {
+				long++
+				if s.end.Sub(at) > 500*time.Millisecond {
+					atWork++
+				}
+			}
+		}
+	}
+	l.mu.Unlock()
+	l.note("%d requests of clients that left; %d reached an upstream over half a second later; %d would have lasted half a second longer, upstreams were still at work on %d",
+		len(left), late, long, atWork)
+	var out verdict
+	if late > aFew {
+		out = append(out, fmt.Sprintf("GONE: %d requests reached an upstream over half a second after their clients had left", late))
+	}
+	if 4*atWork > long {
+		out = append(out, fmt.Sprintf("GONE: upstreams were still at work half a second after the clients had left on %d of %d requests that would have lasted so long", atWork, long))
+	}
+	return out, nil
+}
+
+// pipeline sends safe requests on one connection at once, and reads the answers. A client that leaves closes its connection after 300 ms;
+// pipeline then returns when it did.
+func (m *machine) pipeline(ctx context.Context, depth int, leaves bool) (ids []string, left time.Time) {
+	l := m.lab
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp4", m.at(portOutbound).String())
+	if err != nil {
+		l.note("no connection: %v", err)
+		return nil, time.Time{}
+	}
+	defer conn.Close()
+	var text strings.Builder
+	for range depth {
+		id := newID()
+		ids = append(ids, id)
+		fmt.Fprintf(&text, "GET %s2f HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 5000\r\n\r\n", prefixA, hostA, id)
+		l.note("sent     %s on a connection of %d requests to node %d", id, depth, m.index+1)
+	}
+	_ = conn.SetDeadline(time.Now().Add(6 * time.Second))
+	if _, err := io.WriteString(conn, text.String()); err != nil {
+		return ids, time.Time{}
+	}
+	if leaves {
+		time.Sleep(300 * time.Millisecond)
+		_ = conn.Close()
+		l.note("left     %s and the others of its connection", ids[0])
+		return ids, time.Now()
+	}
+	reader := bufio.NewReader(conn)
+	for _, id := range ids {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			l.note("answered %s: the connection ended: %v", id, err)
+			return ids, time.Time{}
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		l.note("answered %s: %d", id, response.StatusCode)
+	}
+	return ids, time.Time{}
+}
--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -46,8 +46,12 @@
 	mu       sync.Mutex
 	runs     []run
 	arrivals map[string][]time.Time
+	spans    map[string][]span
 }
 
+// span is when an upstream would have ended its work on a request, and when it ended it.
+type span struct{ due, end time.Time }
+
 // machine is a node with its upstream.
 type machine struct {
 	lab      *lab
@@ -100,7 +104,7 @@
 	}
 	l := &lab{
 		dir: dir, record: record, begun: time.Now(), trouble: trouble, template: string(template), store: newStore(),
-		arrivals: map[string][]time.Time{},
+		arrivals: map[string][]time.Time{}, spans: map[string][]span{},
 	}
 	if err := l.findPorts(); err != nil {
 		return nil, err
@@ -171,6 +175,13 @@
 	l.note("dropped  %s at %s: its connection closed while it ran", id, u.id)
 }
 
+// ended records the end of the work on a request that was due at the given time.
+func (l *lab) ended(id string, due time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.spans[id] = append(l.spans[id], span{due, time.Now()})
+}
+
 // copies returns what has run and arrived so far.
 func (l *lab) copies() ([]run, map[string][]time.Time) {
 	l.mu.Lock()
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -15,10 +15,11 @@
 
 // cases are the scripts by the number of their folder.
 var cases = map[string]func(context.Context, *lab) (verdict, error){
-	"6": foreignReport,
-	"7": reportBeforeConfig,
-	"8": lateReport,
-	"9": leftInQueue,
+	"6":  foreignReport,
+	"7":  reportBeforeConfig,
+	"8":  lateReport,
+	"9":  leftInQueue,
+	"10": leftPipeline,
 }
 
 const (
--- a/review/lab-2/upstream.go
+++ b/review/lab-2/upstream.go
@@ -172,8 +172,10 @@
 		id: id, method: r.Method, host: r.Host, path: r.URL.RequestURI(), caller: r.Header.Get("X-Caller-Service"),
 		upstream: u.id, service: u.service, at: time.Now(),
 	})
+	begun, work := time.Now(), u.work()
+	defer func() { u.lab.ended(id, begun.Add(work)) }()
 	select {
-	case <-time.After(u.work()):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		u.lab.broken(id, u)
 		return
