--- a/review/lab-2/cases.go
+++ b/review/lab-2/cases.go
@@ -31,7 +31,7 @@
 func twoRoutes() []route {
 	return []route{
 		{name: "r-n2ctnfz", host: hostA, prefix: prefixA, kind: "safe", service: serviceA, timeoutMs: 3000, targetMs: 1500, priority: 2},
-		{name: "r-s989anu", host: hostB, prefix: prefixB, kind: "unsafe", service: serviceB, timeoutMs: 5000, targetMs: 2000, priority: 0},
+		{name: "r-s989anu", host: hostB, prefix: prefixB, kind: "unsafe", service: serviceB, timeoutMs: 1500, targetMs: 2000, priority: 0},
 	}
 }
 
@@ -174,24 +174,24 @@
 }
 
 const (
-	// slowFactor, slowTime and leaveShare are the largest figures that the site files give for upstreams that turn slow and for clients that
-	// leave; clients may leave up to half of the objective after they have sent their request.
-	slowFactor = 12
-	slowTime   = 9 * time.Second
+	// slowFactor, slowTime and leaveShare are figures that the site file gives for upstreams that turn slow and for clients that leave;
+	// clients may leave up to half of the objective after they have sent their request.
+	slowFactor = 5
+	slowTime   = 6500 * time.Millisecond
 	leaveShare = 0.3
 	// leaveTime is when the clients that leave have done so.
 	leaveTime = 150 * time.Millisecond
 	// slowdowns is the number of times that an upstream turns slow.
-	slowdowns = 4
+	slowdowns = 3
 )
 
 // leftInQueue has clients leave while their requests, which have bodies, wait in the queue of an upstream that has turned slow.
 func leftInQueue(ctx context.Context, l *lab) (verdict, error) {
-	l.addMachine("plovdiv-a", serviceA, 42, workOf(100*time.Millisecond))
+	l.addMachine("plovdiv-a", serviceA, 108, workOf(100*time.Millisecond))
 	var slow atomic.Int64 // the upstream that is slow, from 1, or 0
-	usualWork := workOf(330 * time.Millisecond)
+	usualWork := workOf(290 * time.Millisecond)
 	for i := range int64(3) {
-		l.addMachine("plovdiv-a", serviceB, 42, func() time.Duration {
+		l.addMachine("plovdiv-a", serviceB, 108, func() time.Duration {
 			if slow.Load() == i+1 {
 				return slowFactor * usualWork()
 			}
@@ -214,7 +214,7 @@
 			mu.Unlock()
 		}
 	}
-	const interval = 3500 * time.Microsecond // 286 a second, where 381 a second fit
+	const interval = 1200 * time.Microsecond // 833 a second, where 1,117 a second fit
 	every(ctx, interval, 4*time.Second, func(int) { send(false) })
 	for i := range int64(slowdowns) {
 		if l.trouble {
