--- a/review/lab-2/cases.go
+++ b/review/lab-2/cases.go
@@ -12,8 +12,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/sync/errgroup"
 )
 
 // workOf returns a time of work that varies by half of its mean.
@@ -254,34 +252,37 @@
 	if err := l.start(); err != nil {
 		return nil, err
 	}
-	var group errgroup.Group
-	if l.trouble {
-		group.Go(func() error {
-			time.Sleep(3 * time.Second)
-			for seq := last.upstream.seq.Load(); last.upstream.seq.Load() == seq; {
-				time.Sleep(time.Millisecond)
-			}
-			time.Sleep(100 * time.Millisecond) // the report has been answered
-			last.kill()
-			if err := last.startNode(false); err != nil {
-				return err
-			}
-			body := last.upstream.report("ready")
-			last.upstream.seq.Add(-1) // the other upstream counts its reports itself
-			body["service"], body["seq"], body["born"] = serviceA, 40, l.begun.Add(-time.Minute).UnixMilli()
-			id := fmt.Sprintf("i-%08x", rand.Uint32())
-			for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-				if status := putReport(last.upstream.control, id, body); status != 0 {
-					l.note("late report %v of %s to node %d; answered %d", body, id, last.index+1, status)
-					return nil
-				}
+	var group sync.WaitGroup
+	var failed error
+	restart := func() error {
+		time.Sleep(3 * time.Second)
+		for seq := last.upstream.seq.Load(); last.upstream.seq.Load() == seq; {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond) // the report has been answered
+		last.kill()
+		if err := last.startNode(false); err != nil {
+			return err
+		}
+		body := last.upstream.report("ready")
+		last.upstream.seq.Add(-1) // the other upstream counts its reports itself
+		body["service"], body["seq"], body["born"] = serviceA, 40, l.begun.Add(-time.Minute).UnixMilli()
+		id := fmt.Sprintf("i-%08x", rand.Uint32())
+		for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if status := putReport(last.upstream.control, id, body); status != 0 {
+				l.note("late report %v of %s to node %d; answered %d", body, id, last.index+1, status)
+				return nil
 			}
-			return fmt.Errorf("%w: node %d did not answer", errCannotRun, last.index+1)
-		})
+		}
+		return fmt.Errorf("%w: node %d did not answer", errCannotRun, last.index+1)
+	}
+	if l.trouble {
+		group.Go(func() { failed = restart() })
 	}
 	o, served := l.traffic(ctx, 10*time.Millisecond, 8*time.Second)
-	if err := group.Wait(); err != nil {
-		return nil, err
+	group.Wait()
+	if failed != nil {
+		return nil, failed
 	}
 	if served == 0 {
 		return nil, fmt.Errorf("%w: nothing was served", errCannotRun)
@@ -393,3 +394,94 @@
 	}
 	return ids, time.Time{}
 }
+
+const (
+	// outage is how long the store is down, and down is how long the nodes are after they have been killed.
+	outage, down = 4500 * time.Millisecond, 500 * time.Millisecond
+	// servesOn is how long an upstream serves after it has ended its registration.
+	servesOn = 15 * time.Second
+	// drainTime and stableTime are the bounds drain_ms and stable_window_ms.
+	drainTime, stableTime = 2 * time.Second, 3 * time.Second
+)
+
+// forgottenDeparture has an upstream leave while the store is down, kills all nodes after the acknowledgement, and lets a report from before
+// the departure arrive after their restart.
+func forgottenDeparture(ctx context.Context, l *lab) (verdict, error) {
+	for _, service := range []string{serviceB, serviceB, serviceB, serviceA} {
+		l.addMachine("plovdiv-a", service, 108, workOf(290*time.Millisecond))
+	}
+	if err := l.start(); err != nil {
+		return nil, err
+	}
+	leaving := l.machines[0]
+	var group sync.WaitGroup
+	var failed error
+	var acknowledged, stable time.Time
+	group.Go(func() {
+		time.Sleep(2 * time.Second)
+		if l.trouble {
+			l.store.setDown(true)
+			l.note("the store is down")
+		}
+		group.Go(func() {
+			time.Sleep(outage)
+			l.store.setDown(false)
+			stable = time.Now().Add(stableTime)
+			l.note("the store serves")
+		})
+		time.Sleep(300 * time.Millisecond)
+		report := leaving.upstream.report("ready") // sent before the departure
+		status := leaving.upstream.leave()
+		acknowledged = time.Now()
+		l.note("upstream %s sent DELETE, answered %d, and serves on", leaving.upstream.id, status)
+		if status != http.StatusOK {
+			failed = fmt.Errorf("%w: the departure was not acknowledged", errCannotRun)
+			return
+		}
+		group.Go(func() {
+			time.Sleep(servesOn)
+			leaving.upstream.stop()
+			l.note("upstream %s has ended", leaving.upstream.id)
+		})
+		if !l.trouble {
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+		for _, m := range l.machines {
+			m.kill()
+		}
+		time.Sleep(down)
+		for _, m := range l.machines {
+			if failed = m.startNode(false); failed != nil {
+				return
+			}
+		}
+		time.Sleep(time.Until(acknowledged.Add(2500 * time.Millisecond)))
+		l.note("late report %v of %s, answered %d", report, leaving.upstream.id, putReport(leaving.upstream.control, leaving.upstream.id, report))
+	})
+	served := 0
+	var mu sync.Mutex
+	every(ctx, 25*time.Millisecond, 22*time.Second, func(i int) {
+		c := clientRequest{id: newID(), method: http.MethodPost, host: hostB, path: prefixB + "2f", body: strings.Repeat("x", 4000), budget: 5 * time.Second}
+		if r := l.machines[i%len(l.machines)].send(c); r.status == http.StatusOK {
+			mu.Lock()
+			served++
+			mu.Unlock()
+		}
+	})
+	group.Wait()
+	if failed != nil {
+		return nil, failed
+	}
+	if served == 0 {
+		return nil, fmt.Errorf("%w: nothing was served", errCannotRun)
+	}
+	runs, _ := l.copies()
+	var out verdict
+	for _, r := range runs {
+		if late := r.at.Sub(acknowledged); r.upstream == leaving.upstream.id && late > drainTime && r.at.After(stable) {
+			out = append(out, fmt.Sprintf("DRAIN: request %s ran at %s %v after the acknowledgement that it had left", r.id, r.upstream, late))
+		}
+	}
+	return out, nil
+}
--- a/review/lab-2/lab.go
+++ b/review/lab-2/lab.go
@@ -18,8 +18,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"golang.org/x/sync/errgroup"
 )
 
 // maxRunTime ends a case that hangs; a script may run for 120 s.
@@ -40,7 +38,7 @@
 
 	store     *store
 	storeHTTP *http.Server
-	group     errgroup.Group
+	group     sync.WaitGroup
 	machines  []*machine
 
 	mu       sync.Mutex
@@ -114,9 +112,8 @@
 		return nil, fmt.Errorf("%w: %v", errCannotRun, err)
 	}
 	l.storeHTTP = &http.Server{Handler: l.store, ReadHeaderTimeout: 5 * time.Second}
-	l.group.Go(func() error {
+	l.group.Go(func() {
 		_ = l.storeHTTP.Serve(listener) // ends with the lab
-		return nil
 	})
 	return l, nil
 }
@@ -246,10 +243,9 @@
 	}
 	done := make(chan struct{})
 	m.process, m.done = c, done
-	m.lab.group.Go(func() error {
+	m.lab.group.Go(func() {
 		_ = c.Wait() // most nodes end by a signal
 		close(done)
-		return nil
 	})
 	m.lab.note("node %d (%s, %s) started, process %d", m.index+1, m.zone, m.service, c.Process.Pid)
 	return nil
@@ -321,7 +317,7 @@
 		}
 	}
 	_ = l.storeHTTP.Close()
-	_ = l.group.Wait()
+	l.group.Wait()
 	_ = l.record.Close()
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(l.dir)
@@ -429,14 +425,11 @@
 
 // every calls f each interval until the time is over; the calls run at the same time.
 func every(ctx context.Context, interval, limit time.Duration, f func(i int)) {
-	var group errgroup.Group
+	var group sync.WaitGroup
 	begun := time.Now()
 	for i := 0; time.Since(begun) < limit && ctx.Err() == nil; i++ {
-		group.Go(func() error {
-			f(i)
-			return nil
-		})
+		group.Go(func() { f(i) })
 		time.Sleep(max(0, time.Until(begun.Add(time.Duration(i+1)*interval))))
 	}
-	_ = group.Wait()
+	group.Wait()
 }
--- a/review/lab-2/main.go
+++ b/review/lab-2/main.go
@@ -18,8 +18,10 @@
 	"6":  foreignReport,
 	"7":  reportBeforeConfig,
 	"8":  lateReport,
-	"9":  leftInQueue,
-	"10": leftPipeline,
+	"9":  forgottenDeparture,
+	"10": leftInQueue,
+	// Not a case of its own, see REPORT-2.md.
+	"pipeline": leftPipeline,
 }
 
 const (
--- a/review/lab-2/store.go
+++ b/review/lab-2/store.go
@@ -31,12 +31,22 @@
 	version uint64
 	changed chan struct{}
 	begun   time.Time
+	isDown  bool // whether every call gets 503
 }
 
 func newStore() *store {
 	return &store{rows: map[[3]string]row{}, changed: make(chan struct{}), begun: time.Now()}
 }
 
+// setDown makes the store refuse every call, or serve again.
+func (s *store) setDown(isDown bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDown = isDown
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // put writes one row, as the operator does.
 func (s *store) put(table, key string, value []byte) {
 	s.mu.Lock()
@@ -93,6 +103,13 @@
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeLatency)
+	s.mu.Lock()
+	isDown := s.isDown
+	s.mu.Unlock()
+	if isDown {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	switch r.URL.Path {
 	case "/-/rows-get":
 		s.get(w, r)
@@ -139,8 +156,12 @@
 				found = append(found, f)
 			}
 		}
-		p, changed := s.newPage(found), s.changed
+		p, changed, isDown := s.newPage(found), s.changed, s.isDown
 		s.mu.Unlock()
+		if isDown {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if len(found) > 0 {
 			answerJSON(w, http.StatusOK, p)
 			return
--- a/review/lab-2/upstream.go
+++ b/review/lab-2/upstream.go
@@ -45,6 +45,7 @@
 	waiting atomic.Int64
 	free    chan struct{}
 	server  *http.Server
+	isGone  atomic.Bool // whether it has ended its registration; it still serves
 	stopped chan struct{}
 	once    sync.Once
 }
@@ -58,16 +59,17 @@
 	u.born = time.Now()
 	u.free, u.stopped = make(chan struct{}, u.slots), make(chan struct{})
 	u.server = &http.Server{Handler: u, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second}
-	u.lab.group.Go(func() error {
+	u.lab.group.Go(func() {
 		_ = u.server.Serve(l) // ends with the upstream
-		return nil
 	})
-	u.lab.group.Go(func() error {
+	u.lab.group.Go(func() {
 		for {
-			u.beat("ready")
+			if !u.isGone.Load() {
+				u.beat("ready")
+			}
 			select {
 			case <-u.stopped:
-				return nil
+				return
 			case <-time.After(heartbeat):
 			}
 		}
@@ -120,6 +122,23 @@
 	return response.StatusCode
 }
 
+// leave ends the registration of the upstream, which goes on serving, and returns the status of the answer, or 0 if there is none in time.
+func (u *upstream) leave() int {
+	u.isGone.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+u.control.String()+"/-/instances/"+u.id, nil)
+	if err != nil {
+		return 0
+	}
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
 // notRun answers that the request has not run.
 func (u *upstream) notRun(w http.ResponseWriter, status int) {
 	w.Header().Set("X-Not-Executed", "1")
@@ -132,6 +151,9 @@
 	h.Set("X-Instance-Id", u.id)
 	h.Set("X-Server-Load", fmt.Sprintf("%d,%d,%d", u.running.Load(), u.waiting.Load(), u.slots))
 	if r.URL.Path == healthPath {
+		if u.isGone.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
