mesh, departure: a backend server that left while the store was away stays out of use after all nodes have restarted

Cause: the departure was in the memory of the nodes only, and all of them ended. A node that starts with an empty log took the first report, or a health check, for proof that the backend server had not left.

Change: departure.Verifier decides which incarnations may be used after a start of the node that is not the first of the deployment: - one that started after the node, at once; - one of which a node of the zone that has run since before tells that it had not left (new message, an entry of the recipient; nodes of earlier versions ignore it), at once; - one from which a report arrives 5 s after the start or later: such a report was sent after the start; - if the store served at the start and knew of no departure, any, at once as before, but no longer than 3 s without a report until one of the above holds. The store may have been away until just before the start, which a node cannot know; - if the store did not serve at the start, no other one. Without the store and without other nodes there is no configuration, so that little is lost.

Rejected: two reports, or later sequence numbers, as proof (several may be late); health checks (false in both directions); no acknowledgement while the store is away (the backend server exits without one); a heartbeat in the store (writes for each node and second).

The harness of the tests starts backend servers after their nodes now: it sends one report only, and a server that is older than its node has to go on reporting. TestDepartureAfterOddReport and the others keep their checks.

--- a/departure/departure_test.go
+++ b/departure/departure_test.go
@@ -44,7 +44,7 @@
 
 // TestLog guards against an incarnation that counts as serving although it has left, and against a later one that counts as departed.
 func TestLog(t *testing.T) {
-	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
+	datadriven.Walk(t, "testdata/log", func(t *testing.T, path string) {
 		var log departure.Log
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
@@ -65,6 +65,53 @@
 	})
 }
 
+// TestVerifier guards against an incarnation that is in use although it may have left before its node started, and against a live one that is
+// out of use for longer than that takes to find out.
+func TestVerifier(t *testing.T) {
+	datadriven.Walk(t, "testdata/verifier", func(t *testing.T, path string) {
+		var v *departure.Verifier
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "start":
+				v = departure.NewVerifier(at(t, d, "at"), d.HasArg("first"))
+			case "store-read":
+				v.StoreRead()
+			case "store-away":
+				v.StoreAway()
+			case "confirm":
+				v.Confirm(departure.Incarnation(incarnation(t, d)))
+			case "report":
+				id, start := incarnation(t, d)
+				v.Report(at(t, d, "at"), id, start)
+			case "usable":
+				id, start := incarnation(t, d)
+				return fmt.Sprintln(v.IsUsable(at(t, d, "at"), id, start))
+			default:
+				t.Fatalf("unknown command %q", d.Cmd)
+			}
+			return ""
+		})
+	})
+}
+
+// TestConfirmedIncarnationsAreBounded guards against memory that grows with each incarnation that is confirmed, and against the latest one
+// being dropped.
+func TestConfirmedIncarnationsAreBounded(t *testing.T) {
+	v := departure.NewVerifier(epoch, false)
+	v.StoreAway()
+	usable := 0
+	for i := range 100 {
+		v.Confirm(request.InstanceID(fmt.Sprint("i-", i)))
+	}
+	for i := range 100 {
+		if v.IsUsable(epoch, request.InstanceID(fmt.Sprint("i-", i)), time.Time{}) {
+			usable++
+		}
+	}
+	qt.Check(t, usable, qt.Equals, 16)
+	qt.Check(t, v.IsUsable(epoch, "i-99", time.Time{}), qt.IsTrue)
+}
+
 // TestNoIncarnation guards against a departure without an identifier, which would be that of a backend server that is not known yet.
 func TestNoIncarnation(t *testing.T) {
 	var log departure.Log
--- a/fleet/departure.go
+++ b/fleet/departure.go
@@ -110,6 +110,39 @@
 	return told
 }
 
+// maxConfirmations is the number of times that a node tells another one after each start of that one that its backend server had not left.
+// Datagrams can be lost, and the other nodes of the zone do the same.
+const maxConfirmations = 3
+
+// earlierInstance returns the backend server of a node that has just restarted if it had not left until then, or else an empty identifier.
+func (t *Table) earlierInstance(m *member) request.InstanceID {
+	e := &m.entry
+	h := t.held[e.Address]
+	if e.Health == Absent || e.Health == Departed || t.isMarkedLeaving(e.Instance) || h != nil && h.instance == e.Instance {
+		return ""
+	}
+	return e.Instance
+}
+
+// appendConfirmed appends a message that tells a node of the zone which backend server it had before its restart, unless that has left. The
+// message is an entry of the recipient itself, which nodes of earlier versions ignore.
+func (t *Table) appendConfirmed(out []Message, to netip.Addr) []Message {
+	m := t.members[to]
+	if m == nil || m.earlier == "" || m.entry.Zone != t.zone || m.confirmed == maxConfirmations {
+		return out
+	}
+	m.confirmed++
+	return append(out, Message{To: to, Entries: []Entry{{Address: to, Zone: m.entry.Zone, Instance: m.earlier, Health: Serving}}})
+}
+
+// TakeConfirmed returns the backend servers that the local node had before its restart and that had not left until then, as other nodes have
+// told since the last call.
+func (t *Table) TakeConfirmed() []request.InstanceID {
+	confirmed := t.confirmedInstances
+	t.confirmedInstances = nil
+	return confirmed
+}
+
 // removeDepartures removes departures that were marked longer ago than maxAge.
 func (t *Table) removeDepartures(now request.Instant, maxAge time.Duration) {
 	maps.DeleteFunc(t.left, func(_ request.InstanceID, d departure) bool { return now.Sub(d.marked) > maxAge })
--- a/fleet/departure_test.go
+++ b/fleet/departure_test.go
@@ -56,6 +56,62 @@
 	c.Check(messages > 0 && messages < 10, qt.IsTrue, qt.Commentf("%d messages", messages))
 }
 
+// TestRestartedNodeIsConfirmed guards against a node that cannot know after a restart that its backend server has not left, against one that is
+// told so of a backend server that has left or that its node did not use, and against messages that tell it for as long as it runs.
+func TestRestartedNodeIsConfirmed(t *testing.T) {
+	instance := request.InstanceID("i-1").WithStart(time.UnixMilli(1_785_000_000_000))
+	tick := request.Instant(100 * time.Millisecond)
+	for name, test := range map[string]struct {
+		earlier   fleet.Entry
+		isLeaving bool // whether a response has told the other node that the backend server leaves
+		want      []request.InstanceID
+	}{
+		"serving":             {earlier: fleet.Entry{Health: fleet.Serving, Instance: instance}, want: []request.InstanceID{instance}},
+		"node was stopped":    {earlier: fleet.Entry{Health: fleet.Leaving, Instance: instance}, want: []request.InstanceID{instance}},
+		"departed":            {earlier: fleet.Entry{Health: fleet.Departed, Instance: instance}},
+		"leaving by response": {earlier: fleet.Entry{Health: fleet.Serving, Instance: instance}, isLeaving: true},
+		"not used":            {earlier: fleet.Entry{Health: fleet.Absent, Instance: instance}},
+		"unknown":             {earlier: fleet.Entry{Health: fleet.Leaving}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			table, restarted := newTable(0), newTable(3)
+			e := entry(3, 1, 1)
+			e.Health, e.Instance = test.earlier.Health, test.earlier.Instance
+			table.Merge(0, []fleet.Entry{e})
+			if test.isLeaving {
+				table.MarkLeaving(0, instance)
+			}
+			restarted.RenewSelf(0, fleet.Entry{Incarnation: 2})
+			told := 0
+			for i := range 100 {
+				now := request.Instant(1+i) * tick
+				table.Merge(now, []fleet.Entry{{Address: address(3), Zone: zoneOf(3), Incarnation: 2, Sequence: uint32(1 + i)}})
+				for _, e := range departuresTo(table, now, 3) {
+					if e.Health == fleet.Departed {
+						continue
+					}
+					told++
+					data, err := fleet.Encode(fleet.Message{Entries: []fleet.Entry{e}})
+					c.Assert(err, qt.IsNil)
+					m, err := fleet.Decode(data)
+					c.Assert(err, qt.IsNil)
+					restarted.Merge(now, m.Entries)
+				}
+				if i == 0 {
+					c.Check(restarted.TakeConfirmed(), qt.DeepEquals, test.want)
+				}
+			}
+			c.Check(told < 10, qt.IsTrue, qt.Commentf("%d messages", told))
+			restarted.TakeConfirmed()
+			// The entry of the node itself comes back from others.
+			e.Incarnation, e.Health, e.Instance = 2, fleet.Serving, instance
+			restarted.Merge(0, []fleet.Entry{e})
+			c.Check(restarted.TakeConfirmed(), qt.HasLen, 0)
+		})
+	}
+}
+
 // TestDepartedIncarnationIsAvoided guards against requests to an incarnation that has left, because its node has restarted and takes it for
 // serving, and against a later incarnation that is avoided.
 func TestDepartedIncarnationIsAvoided(t *testing.T) {
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -75,6 +75,10 @@
 	// failed is the time of the last failed connection to the node, after which it is avoided until avoidUntil. While its entry is
 	// not renewed, it counts as gone early.
 	failed, avoidUntil request.Instant
+	// earlier is the backend server that the node had before its last restart and that had not left, or empty, and confirmed counts the
+	// messages that have told the node so.
+	earlier   request.InstanceID
+	confirmed int
 }
 
 const (
@@ -111,6 +115,8 @@
 	// nodes have told the local node.
 	held           map[netip.Addr]*heldDeparture
 	toldDepartures []ToldDeparture
+	// confirmedInstances are the backend servers of the local node that had not left before its restart, as other nodes have told it.
+	confirmedInstances []request.InstanceID
 	// entryAges and summaryAges tell how long entries of the local zone and summaries of other zones take to arrive.
 	entryAges, summaryAges ageMeter
 }
@@ -174,6 +180,8 @@
 		if e.Address == t.self {
 			if e.Health == Departed {
 				t.toldDepartures = append(t.toldDepartures, ToldDeparture{e.Instance, e.Age})
+			} else if e.Incarnation == 0 && e.Instance != "" { // not an entry of this node that has come back
+				t.confirmedInstances = append(t.confirmedInstances, e.Instance)
 			}
 			if e.Incarnation > t.members[t.self].entry.Incarnation {
 				t.minIncarnation = max(t.minIncarnation, e.Incarnation+1)
@@ -196,6 +204,7 @@
 		}
 		if m.hasEntry && e.Incarnation > m.entry.Incarnation {
 			m.avoidUntil = 0
+			m.earlier, m.confirmed = t.earlierInstance(m), 0
 		}
 		if e.Zone == t.zone && !t.isFresh(now, m) {
 			t.discovered = now
@@ -259,7 +268,7 @@
 		m.lastSent = now
 	}
 	for _, m := range out {
-		out = t.appendHeld(out, now, m.To)
+		out = t.appendConfirmed(t.appendHeld(out, now, m.To), m.To)
 	}
 	if now.Sub(t.lastCrossZone) >= t.settings.CrossZoneInterval && len(remote) > 0 {
 		t.lastCrossZone = now
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -71,6 +71,7 @@
 	b := &backend{
 		node: n, gate: gate.New(gate.DefaultSettings(), defaultSlots),
 		waiting: map[gate.Number]chan gate.Action{}, address: n.settings.Backend, detector: quarantine.NewDetector(),
+		departures: departures{verifier: departure.NewVerifier(n.start, n.settings.IsFirstStart)},
 	}
 	b.gate.Close(gate.UnknownServer)
 	b.gate.AwaitFirstResponse()
@@ -452,8 +453,12 @@
 	b.applyActions(b.gate.Tick(now))
 	limit := b.gate.Capacity(now)
 	route, serviceTime := b.gate.DominantRoute(now)
+	instance := departure.Incarnation(b.lastReport.Instance, b.lastReport.StartTime)
+	if b.health != fleet.Departed && !b.isUsable() {
+		instance = "" // other nodes confirm the incarnation that is told after the next restart of this node
+	}
 	return fleet.Entry{
-		Service: *b.node.service.Load(), Instance: departure.Incarnation(b.lastReport.Instance, b.lastReport.StartTime), Health: b.health, Limit: uint16(min(limit, 1<<16-1)),
+		Service: *b.node.service.Load(), Instance: instance, Health: b.health, Limit: uint16(min(limit, 1<<16-1)),
 		DominantRoute: route, ServiceTime: serviceTime, FailurePercent: b.failures.percent(now),
 	}, float64(b.gate.Running()+b.gate.Queued()) / float64(max(1, limit))
 }
--- a/mesh/departure.go
+++ b/mesh/departure.go
@@ -7,6 +7,7 @@
 
 	"github.com/sapphiretack/sapphiretack/departure"
 	"github.com/sapphiretack/sapphiretack/fleet"
+	"github.com/sapphiretack/sapphiretack/gate"
 	"github.com/sapphiretack/sapphiretack/request"
 )
 
@@ -23,6 +24,8 @@
 // them.
 type departures struct {
 	log departure.Log
+	// verifier tells which incarnations may be used although they may have left before this node started.
+	verifier *departure.Verifier
 	// unstored and obsolete are to be written to the store and removed from it.
 	unstored, obsolete []departure.Departure
 	// stored is closed once unstored is empty; it is nil if it is empty already.
@@ -116,6 +119,41 @@
 	b.closeIfDeparted("other nodes know of its departure")
 }
 
+// isUsable reports whether the current incarnation may be used as far as the node knows of departures from before its start. The caller
+// holds b.mu.
+func (b *backend) isUsable() bool {
+	return b.departures.verifier.IsUsable(time.Now(), b.lastReport.Instance, b.lastReport.StartTime)
+}
+
+// closeIfUnusable closes the gate if the current incarnation may have left before the node started. Its reports open the gate again. The caller
+// holds b.mu.
+func (b *backend) closeIfUnusable() {
+	if b.health != fleet.Serving || b.isUsable() {
+		return
+	}
+	b.health = fleet.Absent
+	b.applyActions(b.gate.Close(gate.UnknownServer))
+	b.node.log.Warn().Str("event", "departure_uncertain").Str("instance_id", string(b.lastReport.Instance)).Time("born", b.lastReport.StartTime).
+		Msg("backend server may have left before this node started; refusing attempts until its reports show that it has not")
+}
+
+// confirm records incarnations that have not left before this node started, as other nodes tell it.
+func (b *backend) confirm(incarnations []request.InstanceID) {
+	if len(incarnations) == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	wasUsable := b.isUsable()
+	for _, i := range incarnations {
+		b.departures.verifier.Confirm(i)
+	}
+	hasReported := !b.lastReport.StartTime.IsZero()
+	if hasReported && !wasUsable && b.isUsable() && !b.isLeaving {
+		b.openGate(b.lastReport.Slots)
+	}
+}
+
 // isOver reports whether the current incarnation has started after a departure. The caller holds b.mu.
 func (b *backend) isOver(d departure.Departure) bool {
 	return d.Time.Before(b.lastReport.StartTime) && !d.Covers(b.lastReport.Instance, b.lastReport.StartTime)
@@ -187,6 +225,9 @@
 	for backoff := minBackoff; ctx.Err() == nil; n.backOff(ctx, &backoff) {
 		stored, err := n.store.Departures(ctx, n.settings.Address)
 		if err != nil {
+			n.backend.mu.Lock()
+			n.backend.departures.verifier.StoreAway()
+			n.backend.mu.Unlock()
 			n.log.Info().Str("event", "departures_unread").Err(err).Msg("cannot read the departures of the backend server from the store; retrying")
 			continue
 		}
@@ -203,6 +244,7 @@
 				b.learn(d, "store")
 			}
 		}
+		b.departures.verifier.StoreRead()
 		b.closeIfDeparted("the store has its departure")
 		return
 	}
--- a/mesh/departure_test.go
+++ b/mesh/departure_test.go
@@ -117,11 +117,6 @@
 // TestDepartureWithoutStore guards against a departure that is forgotten in a restart because the store was away when it was acknowledged, or
 // when the node started.
 func TestDepartureWithoutStore(t *testing.T) {
-	setDown := func(d *deployment, isDown bool) {
-		d.store.mu.Lock()
-		defer d.store.mu.Unlock()
-		d.store.isDown = isDown
-	}
 	for name, test := range map[string]struct{ atDeparture, atStart bool }{
 		"at the departure": {true, false}, "at the start": {false, true}, "all the time": {true, true},
 	} {
@@ -132,16 +127,16 @@
 			d.start("transfers", "a", 0)
 			d.start("registry", "a", 0)
 			d.waitUntilServing("/birds/1")
-			setDown(d, test.atDeparture)
+			d.store.setDown(test.atDeparture)
 			d.depart(leaving, "delete")
 			leaving.stopNode()
-			setDown(d, test.atStart)
+			d.store.setDown(test.atStart)
 			d.startNode(leaving) // hears the late report at once
 			d.eventually("the node knows of the departure", func() bool {
 				return strings.HasPrefix(d.sendAttempt(leaving, registryCall), "not_run leaving")
 			})
 			d.checkClosed(leaving)
-			setDown(d, false)
+			d.store.setDown(false)
 			d.eventually("the store has the departure", func() bool {
 				kept, err := d.store.Departures(t.Context(), leaving.address)
 				return err == nil && len(kept) == 1
@@ -150,6 +145,140 @@
 	}
 }
 
+// restartAll stops all nodes and starts them again, with the store down or not; they hear nothing of their backend servers.
+func (d *deployment) restartAll(isDown bool) {
+	for _, m := range d.machines {
+		m.stopNode()
+	}
+	d.store.setDown(isDown)
+	for _, m := range d.machines {
+		d.startNodeUnreported(m)
+	}
+}
+
+// reportAgain sends the report of a machine's backend server once more, with the next sequence number.
+func (d *deployment) reportAgain(m *machine) {
+	d.c.Helper()
+	m.report.Sequence++
+	d.c.Assert(m.node.Report(m.report), qt.IsTrue)
+}
+
+// isOpen reports whether the gate of a machine accepts an attempt.
+func (d *deployment) isOpen(m *machine) bool {
+	return strings.HasPrefix(d.sendAttempt(m, registryCall), "answered")
+}
+
+// TestDepartureForgottenByAll guards against a backend server that has left and gets requests again, because the store was away when it left
+// and all nodes that knew have ended since: late reports and health checks do not show that it has not left.
+func TestDepartureForgottenByAll(t *testing.T) {
+	for name, test := range map[string]struct {
+		kind        string
+		lateReports int
+		isStoreBack bool // whether the store serves again when the nodes start
+	}{
+		"end of registration, late report":       {"delete", 1, false},
+		"end of registration, late reports":      {"delete", 3, false},
+		"end of registration, health check only": {"delete", 0, false},
+		"leaving report":                         {"report", 1, false},
+		"response":                               {"response", 1, false},
+		"store is back at the start":             {"delete", 1, true},
+		"store is back, health check only":       {"delete", 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+			d.logOnFailure(t)
+			leaving := d.start("registry", "a", 0)
+			d.start("transfers", "a", 0)
+			d.start("registry", "b", 0)
+			d.waitUntilServing("/birds/1")
+			d.store.setDown(true)
+			d.depart(leaving, test.kind)
+			d.restartAll(!test.isStoreBack)
+			d.sendAttempt(leaving, registryCall) // returns once the node listens
+			for range test.lateReports {
+				d.reportAgain(leaving)
+			}
+			if test.isStoreBack {
+				d.eventually("the gate is open", func() bool { return d.isOpen(leaving) })
+				d.eventually("the gate is closed", func() bool { return !d.isOpen(leaving) })
+			} else {
+				d.checkClosed(leaving)
+				d.store.setDown(false)
+			}
+			d.eventually("the node has the configuration", func() bool {
+				return d.get(leaving, "/unknown", "settle").status == http.StatusNotFound
+			})
+			time.Sleep(leaving.settings.DrainTime) // a health check would open the gate by now
+			d.checkClosed(leaving)
+		})
+	}
+}
+
+// TestServerIsUsedAfterRestart guards against a live backend server that gets no requests after a restart of its node, or only with a report
+// that comes seconds later, although the store or another node can tell that it has not left.
+func TestServerIsUsedAfterRestart(t *testing.T) {
+	for name, restart := range map[string]func(d *deployment, m *machine){
+		"all nodes, store serves": func(d *deployment, _ *machine) { d.restartAll(false) },
+		"one node, store is away": func(d *deployment, m *machine) { d.store.setDown(true); d.restart(m) },
+		"twice, store is away": func(d *deployment, m *machine) {
+			d.store.setDown(true)
+			d.restart(m)
+			d.eventually("the gate is open", func() bool { return d.isOpen(m) })
+			d.restart(m)
+		},
+		"in turn, store is away": func(d *deployment, m *machine) {
+			d.store.setDown(true)
+			d.restart(d.machines[1])
+			d.eventually("it serves", func() bool { return d.get(d.machines[1], "/birds/1", "turn").status == http.StatusOK })
+			d.restart(m)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+			d.logOnFailure(t)
+			m := d.start("registry", "a", 0)
+			d.start("transfers", "a", 0)
+			d.waitUntilServing("/birds/1")
+			restart(d, m)
+			// Without any report, only the store or the other node can tell.
+			d.eventually("the gate is open", func() bool { return d.isOpen(m) })
+			d.reportAgain(m)
+			d.c.Check(d.isOpen(m), qt.IsTrue)
+		})
+	}
+}
+
+// TestServerIsUsedAfterRestartOfAll guards against a live backend server that stays out of use after a restart of all nodes with the store away,
+// and against a later incarnation that has to wait as the earlier one has.
+func TestServerIsUsedAfterRestartOfAll(t *testing.T) {
+	for name, isLater := range map[string]bool{"same incarnation": false, "later incarnation, same identifier": true} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+			d.logOnFailure(t)
+			m := d.start("registry", "a", 0)
+			d.start("transfers", "a", 0)
+			d.waitUntilServing("/birds/1")
+			d.store.setDown(true)
+			if isLater {
+				d.depart(m, "delete")
+			}
+			d.restartAll(true)
+			d.sendAttempt(m, registryCall) // returns once the node listens
+			if !isLater {
+				d.reportAgain(m)
+				d.c.Check(d.isOpen(m), qt.IsFalse)
+				d.eventually("the gate is open", func() bool { d.reportAgain(m); return d.isOpen(m) })
+				return
+			}
+			_ = m.server.Close()
+			d.startApplication(m, "registry", 0)
+			m.report.StartTime, m.report.Sequence = time.Now(), 0
+			d.reportAgain(m)
+			d.eventually("the gate is open", func() bool { return d.isOpen(m) })
+		})
+	}
+}
+
 // TestDepartureBeforeFirstReport guards against a backend server that has left and gets requests again with its first report, because the node
 // knew it from a health check only, or not at all, when it left.
 func TestDepartureBeforeFirstReport(t *testing.T) {
--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -175,8 +175,9 @@
 		n.fleetMu.Lock()
 		version, holder := n.fleet.Merge(n.now(), m.Entries)
 		n.fleet.MergeSummaries(n.now(), m.Summaries)
-		told := n.fleet.TakeToldDepartures()
+		told, confirmed := n.fleet.TakeToldDepartures(), n.fleet.TakeConfirmed()
 		n.fleetMu.Unlock()
+		n.backend.confirm(confirmed)
 		n.backend.learnDepartures(told)
 		n.mergeCrashes(m.Crashes)
 		if m.ConfigurationVersion > version {
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -56,6 +56,13 @@
 	}
 }
 
+// setDown makes the store refuse calls, or serve again.
+func (d *memoryStore) setDown(isDown bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.isDown = isDown
+}
+
 func (d *memoryStore) set(c *routing.Configuration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -294,7 +301,7 @@
 	}
 	m.report = mesh.Report{
 		Instance: request.InstanceID(instance), Service: request.ServiceID(service), Address: addressOf("application"),
-		Slots: 4, Sequence: 1, StartTime: time.Now(),
+		Slots: 4, Sequence: 1,
 	}
 	m.stop = func() {
 		m.stopNode()
@@ -303,7 +310,9 @@
 		m.isStopped = true
 		_ = m.server.Close()
 	}
-	d.startNode(m)
+	d.startNodeUnreported(m)
+	m.report.StartTime = time.Now() // a backend server that is older than its node would have to go on reporting
+	d.c.Assert(m.node.Report(m.report), qt.IsTrue)
 	d.machines = append(d.machines, m)
 	return m
 }
--- a/mesh/health.go
+++ b/mesh/health.go
@@ -15,6 +15,7 @@
 func (b *backend) healthCheckLoop(ctx context.Context) error {
 	return runEvery(ctx, healthCheckInterval, func() {
 		b.mu.Lock()
+		b.closeIfUnusable()
 		isNeeded := b.health == fleet.Down || b.health == fleet.Absent || b.needsLimitCheck(b.node.now())
 		b.mu.Unlock()
 		if isNeeded && !b.node.isStopping.Load() {
@@ -69,8 +70,14 @@
 		if b.departures.log.Includes(time.Now(), info.Instance, time.Time{}) {
 			return // wait for a report, which tells by its start time whether this is a later incarnation
 		}
+		if !b.departures.verifier.IsUsable(time.Now(), info.Instance, time.Time{}) {
+			return
+		}
 		b.lastReport.Instance = info.Instance
 	}
+	if !b.isUsable() {
+		return
+	}
 	n.log.Info().Str("event", "dependency_regained").Str("dependency", "backend_server").Str("instance_id", string(info.Instance)).
 		Int("slots", info.Slots).Msg("backend server passed its health check; accepting attempts")
 	b.openGate(info.Slots)
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -69,6 +69,7 @@
 	}
 	isFirst := isNew || !b.hasSlots
 	b.lastReport, b.hasSlots, b.hasEnded = r, r.Slots > 0, false
+	b.departures.verifier.Report(time.Now(), r.Instance, r.StartTime)
 	n.service.Store(&r.Service)
 	if r.State == StateLeaving {
 		b.startLeaving(fleet.Departed, "the backend server leaves")
@@ -80,8 +81,15 @@
 	if b.isLeaving && !n.isStopping.Load() && !b.departures.log.Includes(time.Now(), r.Instance, r.StartTime) {
 		b.isLeaving = false // another incarnation under the identifier has left
 	}
-	if !b.isLeaving {
+	switch {
+	case b.isLeaving:
+	case b.isUsable():
 		b.openGate(r.Slots)
+	case b.health == fleet.Serving:
+		b.closeIfUnusable()
+	default:
+		n.log.Info().Str("event", "report_uncertain").Str("instance_id", string(r.Instance)).Int64("sequence", r.Sequence).Time("born", r.StartTime).
+			Msg("report does not open the gate: the backend server may have left before this node started, and neither the store nor another node could tell")
 	}
 	return true
 }
