mesh: other nodes are told of a departure that its node heard before anything else of the backend server

Change: the incarnation that a departure names becomes the current one if none is known, so that the entry tells of it like of any other.

TestDepartureOfUnknownServer failed before (no node has the departure when the store is back) and passes.

--- a/mesh/departure.go
+++ b/mesh/departure.go
@@ -77,6 +77,10 @@
 			b.lastReport.StartTime = start // a health check was first to find the incarnation
 		}
 	}
+	if b.lastReport.Instance == "" {
+		// Other nodes learn of the departure of the current incarnation only.
+		b.lastReport.Instance, b.lastReport.StartTime = id, start
+	}
 	d := departure.Departure{Incarnation: departure.Incarnation(id, start), Time: time.Now()}
 	if b.departures.log.Add(d) {
 		b.departures.store(d)
--- a/mesh/departure_test.go
+++ b/mesh/departure_test.go
@@ -279,6 +279,33 @@
 	}
 }
 
+// TestDepartureOfUnknownServer guards against a departure that other nodes are not told, because the node that acknowledged it had just
+// restarted and knew no backend server yet.
+func TestDepartureOfUnknownServer(t *testing.T) {
+	d := newDeployment(t, ledgerConfiguration(1, birdsRoute()))
+	d.logOnFailure(t)
+	leaving := d.start("registry", "a", 0)
+	d.start("transfers", "a", 0)
+	d.start("registry", "a", 0)
+	d.waitUntilServing("/birds/1")
+	d.store.setDown(true)
+	leaving.application.Drain() // fails its health checks
+	d.restart(leaving)
+	d.sendAttempt(leaving, registryCall) // returns once the node listens
+	d.sendDelete(leaving)
+	d.restart(leaving)
+	d.sendAttempt(leaving, registryCall) // returns once the node listens
+	d.reportAgain(leaving)
+	d.checkClosed(leaving)
+	d.store.setDown(false)
+	d.eventually("the store has the departure", func() bool {
+		kept, err := d.store.Departures(t.Context(), leaving.address)
+		return err == nil && len(kept) == 1
+	})
+	d.reportAgain(leaving)
+	d.checkClosed(leaving)
+}
+
 // TestDepartureBeforeFirstReport guards against a backend server that has left and gets requests again with its first report, because the node
 // knew it from a health check only, or not at all, when it left.
 func TestDepartureBeforeFirstReport(t *testing.T) {
