mesh: only the settings name the service of a machine

Cause: the service was taken from any report that was accepted, although the settings name it.

An incarnation that has reported an earlier service is not used after a change of the settings.

--- a/cmd/sapphiretack/mesh.go
+++ b/cmd/sapphiretack/mesh.go
@@ -63,6 +63,10 @@
 	n := mesh.New(mesh.Dependencies{
 		Settings: s.Node, HeaderCodec: platform.HeaderCodec{}, Store: platform.NewMeshStore(client, log),
 		Log: log, ControlHandler: platform.ControlHandler, ReadinessHandler: platform.ReadinessHandler, Reload: reload,
+		ReadSettings: func() (mesh.Settings, error) {
+			s, err := platform.ReadSettings(path)
+			return s.Node, err
+		},
 	})
 	var group run.Group
 	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
--- a/mesh/backend.go
+++ b/mesh/backend.go
@@ -47,7 +47,7 @@
 	gate            *gate.Gate
 	lastNumber      gate.Number
 	waiting         map[gate.Number]chan gate.Action
-	lastReport      Report // holds only Instance if a health check was first to find the incarnation
+	lastReport      Report // holds only Instance and Service if a health check was first to find the incarnation
 	hasSlots        bool   // whether the latest report had a number of slots
 	health          fleet.Health
 	isLeaving       bool // whether the current incarnation is leaving
@@ -413,11 +413,18 @@
 		Msg("response is from an unknown incarnation of the backend server; refusing attempts until its report arrives")
 }
 
-// setAddress sets the address of the backend server.
-func (b *backend) setAddress(a netip.AddrPort) {
+// setService sets the service and the address of the backend server, as the settings name them. The gate closes if they are of another
+// service than the current incarnation.
+func (b *backend) setService(s request.ServiceID, a netip.AddrPort) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.address = a
+	hasChanged := s != *b.node.service.Load()
+	b.node.service.Store(&s)
+	if hasChanged && b.health == fleet.Serving {
+		b.health = fleet.Absent
+		b.applyActions(b.gate.Close(gate.UnknownServer))
+	}
 }
 
 // fingerprintBodyBytes is the number of bytes by which a body that is not buffered enters the fingerprint of its request.
--- a/mesh/departure.go
+++ b/mesh/departure.go
@@ -123,10 +123,10 @@
 	b.closeIfDeparted("other nodes know of its departure")
 }
 
-// isUsable reports whether the current incarnation may be used as far as the node knows of departures from before its start. The caller
-// holds b.mu.
+// isUsable reports whether the current incarnation is of the service that the settings name, and may be used as far as the node knows of
+// departures from before its start. The caller holds b.mu.
 func (b *backend) isUsable() bool {
-	return b.departures.verifier.IsUsable(time.Now(), b.lastReport.Instance, b.lastReport.StartTime)
+	return b.lastReport.Service == *b.node.service.Load() && b.departures.verifier.IsUsable(time.Now(), b.lastReport.Instance, b.lastReport.StartTime)
 }
 
 // closeIfUnusable closes the gate if the current incarnation may have left before the node started. Its reports open the gate again. The caller
--- a/mesh/harness_test.go
+++ b/mesh/harness_test.go
@@ -335,6 +335,7 @@
 	m.node = mesh.New(mesh.Dependencies{
 		Settings: m.settings, HeaderCodec: platform.HeaderCodec{}, Store: nodeStore, Log: d.log,
 		ControlHandler: platform.ControlHandler, ReadinessHandler: platform.ReadinessHandler,
+		ReadSettings: func() (mesh.Settings, error) { return m.settings, nil },
 	})
 	node := m.node
 	d.group.Go(func() error { defer close(done); return node.Run(ctx) })
--- a/mesh/health.go
+++ b/mesh/health.go
@@ -73,7 +73,7 @@
 		if !b.departures.verifier.IsUsable(time.Now(), info.Instance, time.Time{}) {
 			return
 		}
-		b.lastReport.Instance = info.Instance
+		b.lastReport.Instance, b.lastReport.Service = info.Instance, *n.service.Load()
 	}
 	if !b.isUsable() {
 		return
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -58,6 +58,8 @@
 	ReadinessHandler func(*Node) http.Handler
 	// Reload delivers changed settings.
 	Reload <-chan Settings
+	// ReadSettings reads the current settings, which may have changed before Reload delivers them.
+	ReadSettings func() (Settings, error)
 }
 
 // Node routes the requests of one machine and runs attempts on its backend server.
@@ -69,6 +71,7 @@
 	control     func(*Node) http.Handler
 	ready       func(*Node) http.Handler
 	reload      <-chan Settings
+	read        func() (Settings, error)
 	start       time.Time
 	incarnation request.Incarnation
 
@@ -125,7 +128,7 @@
 	rng := request.NewRandom()
 	s := d.Settings
 	n := &Node{
-		settings: s, headers: d.HeaderCodec, log: d.Log, control: d.ControlHandler, ready: d.ReadinessHandler, reload: d.Reload,
+		settings: s, headers: d.HeaderCodec, log: d.Log, control: d.ControlHandler, ready: d.ReadinessHandler, reload: d.Reload, read: d.ReadSettings,
 		start:       start,
 		incarnation: request.NewIncarnation(start, rng),
 		splitter:    routing.NewSplitter(),
@@ -261,9 +264,23 @@
 		case <-ctx.Done():
 			return nil
 		case s := <-n.reload:
-			n.service.Store(&s.Service)
-			n.backend.setAddress(s.Backend)
-			n.log.Info().Str("event", "reload").Str("service", string(s.Service)).Str("backend", s.Backend.String()).Msg("settings reloaded")
+			n.applySettings(s)
 		}
 	}
 }
+
+// applySettings applies the service and the address of the backend server.
+func (n *Node) applySettings(s Settings) {
+	n.backend.setService(s.Service, s.Backend)
+	n.log.Info().Str("event", "reload").Str("service", string(s.Service)).Str("backend", s.Backend.String()).Msg("settings reloaded")
+}
+
+// rereadSettings applies settings that have changed but were not delivered yet.
+func (n *Node) rereadSettings() {
+	s, err := n.read()
+	if err != nil {
+		n.log.Error().Str("event", "reload_failed").Err(err).Msg("cannot read the settings for a report of another service; keeping the previous settings")
+		return
+	}
+	n.applySettings(s)
+}
--- a/mesh/report.go
+++ b/mesh/report.go
@@ -9,9 +9,12 @@
 	"github.com/sapphiretack/sapphiretack/request"
 )
 
-// Report applies a status report of the local backend server. It returns false if the report names another address than that
+// Report applies a status report of the local backend server. It returns false if the report names another address or service than those
 // of the local backend server and must not be acknowledged. It waits until a departure is in the store, for half a second at most.
 func (n *Node) Report(r Report) bool {
+	if r.State != StateGone && r.Service != *n.service.Load() {
+		n.rereadSettings()
+	}
 	isApplied := n.backend.report(r)
 	if isApplied && r.State != StateReady {
 		n.awaitStoredDepartures()
@@ -32,9 +35,9 @@
 			Str("expected", b.address.String()).Msg("report refused: its address is not that of the local backend server; correct the address in the settings or at the backend server")
 		return false
 	}
-	if !n.isKnownService(r.Service) {
+	if expected := *n.service.Load(); r.Service != expected {
 		n.log.Warn().Str("event", "report_refused").Str("instance_id", string(r.Instance)).Str("service", string(r.Service)).
-			Msg("report refused: its service is neither that of the settings nor in the configuration")
+			Str("expected", string(expected)).Msg("report refused: its service is not that of the settings; it is late, or of another writer")
 		return false
 	}
 	if r.State == StateLeaving {
@@ -70,7 +73,6 @@
 	isFirst := isNew || !b.hasSlots
 	b.lastReport, b.hasSlots, b.hasEnded = r, r.Slots > 0, false
 	b.departures.verifier.Report(time.Now(), r.Instance, r.StartTime)
-	n.service.Store(&r.Service)
 	if r.State == StateLeaving {
 		b.startLeaving(fleet.Departed, "the backend server leaves")
 		return true
@@ -94,16 +96,6 @@
 	return true
 }
 
-// isKnownService reports whether a backend server of the service may run beside the node.
-func (n *Node) isKnownService(s request.ServiceID) bool {
-	c := n.configuration.Load()
-	if c == nil || s == *n.service.Load() || s == n.settings.Service {
-		return true
-	}
-	_, ok := c.Services[s]
-	return ok
-}
-
 // isNewerReport reports whether r is newer than the latest report by start time and sequence number: reports can arrive out
 // of order. One of another incarnation than that which has ended is newer in any case.
 func (b *backend) isNewerReport(r Report) bool {
