mesh: an attempt with a short body leaves the queue when its client has left

Cause: net/http notices that the other side has closed a connection only after the body has been read to its end, and attempts waited at the gate before they read theirs. A POST without a body is sent on in chunks and was affected as well.

Longer bodies are as before.

--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -277,17 +277,43 @@
 		a.crashes = decodeCrashes(r.Header.Get(crashesHeader), a.content)
 	}
 	if r.ContentLength != 0 {
-		body := &attemptBody{source: r.Body, controller: http.NewResponseController(w)}
-		defer body.stop()
-		a.body, a.length = body, r.ContentLength
+		beginning, isWhole := readBeginning(w, r, info.Timeout)
+		a.body, a.length = bytes.NewReader(beginning), r.ContentLength
+		if !isWhole {
+			body := &attemptBody{beginning: beginning, source: r.Body, controller: http.NewResponseController(w)}
+			defer body.stop()
+			a.body = body
+		}
 	}
 	n.writeOutcome(w, n.backend.run(r.Context(), a))
 }
 
+// readBeginning reads what the other node has of a body before it sends the attempt, and reports whether that is all of the body. The attempt then
+// waits for its turn, and only after the end of the body does net/http notice that the other node, and so the client, has left. It aborts the
+// connection if the other node does not send it in time.
+func readBeginning(w http.ResponseWriter, r *http.Request, timeout time.Duration) (beginning []byte, isWhole bool) {
+	length := r.ContentLength
+	switch {
+	case length > maxBufferedRequestBytes:
+		return nil, false
+	case length < 0:
+		length = fingerprintBodyBytes
+	}
+	controller := http.NewResponseController(w)
+	_ = controller.SetReadDeadline(time.Now().Add(timeout)) // every connection between nodes supports it
+	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	beginning, err := io.ReadAll(io.LimitReader(r.Body, length))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	return beginning, r.ContentLength > 0 || int64(len(beginning)) < length
+}
+
 // attemptBody is the body of an attempt from another node. The transport may still be reading it for the backend server when
 // the handler returns, and part of it may not have been read at all; net/http then reads the rest itself and panics, here or while it reads
 // the next attempt on the connection.
 type attemptBody struct {
+	beginning  []byte // what has been read of the body before; only the reader uses it
 	source     io.Reader
 	controller *http.ResponseController
 	hasBegun   bool       // whether the attempt is sent to the backend server; only the handler uses it
@@ -319,6 +345,11 @@
 	if b.isStopped.Load() {
 		return 0, errBodyStopped
 	}
+	if len(b.beginning) > 0 {
+		n := copy(p, b.beginning)
+		b.beginning = b.beginning[n:]
+		return n, nil
+	}
 	n, err := b.source.Read(p)
 	b.isAtEnd = b.isAtEnd || errors.Is(err, io.EOF)
 	return n, err
