ingress: the end of a connection is seen while its pipeline is full

Cause: the loop that reads requests waits for room among the pending ones, or for the response before one that may not run concurrently, and does not read the end of the connection meanwhile.

Change: it reads ahead into its buffer while it waits, and cancels the handlers at the end of the connection.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -88,17 +89,17 @@
 		closeAfter := e.closeAfter
 		if previous != nil && (e.body != nil || !isSafeMethod(e.request.Method)) {
 			// Only GET and HEAD requests without a body may run concurrently with earlier requests on their connection.
-			select {
-			case <-previous.written:
-			case <-c.ctx.Done():
-			}
+			c.watchDuring(func() {
+				select {
+				case <-previous.written:
+				case <-c.ctx.Done():
+				}
+			})
 		}
 		previous = e
 		ctx, cancel := context.WithCancel(c.ctx)
 		e.cancel = cancel
-		select {
-		case queue <- e:
-		case <-c.ctx.Done():
+		if !c.enqueue(queue, e) {
 			cancel()
 			return
 		}
@@ -126,6 +127,46 @@
 	}
 }
 
+// enqueue adds a request to those that await their responses, waiting for room. It returns false if the connection has ended.
+func (c *connection) enqueue(queue chan<- *exchange, e *exchange) bool {
+	select {
+	case queue <- e:
+		return true
+	default:
+	}
+	isQueued := false
+	c.watchDuring(func() {
+		select {
+		case queue <- e:
+			isQueued = true
+		case <-c.ctx.Done():
+		}
+	})
+	return isQueued
+}
+
+// watchDuring calls wait, and cancels the handlers if the connection ends meanwhile. It reads ahead as much as fits into the buffer of the reader: an
+// end that is behind more input than that is not seen.
+func (c *connection) watchDuring(wait func()) {
+	_ = c.conn.SetReadDeadline(time.Time{})
+	var watch errgroup.Group
+	watch.Go(func() error {
+		for n := c.reader.Buffered() + 1; n <= c.reader.Size(); n = c.reader.Buffered() + 1 {
+			if _, err := c.reader.Peek(n); err != nil {
+				if !errors.Is(err, os.ErrDeadlineExceeded) {
+					c.cancel()
+				}
+				break
+			}
+		}
+		return nil
+	})
+	wait()
+	_ = c.conn.SetReadDeadline(time.Unix(1, 0)) // ends the watch
+	_ = watch.Wait()                            // returns no error
+	_ = c.conn.SetReadDeadline(time.Time{})
+}
+
 // accept counts a request that has been read. It returns false if an earlier response closes the connection, or if the server has stopped
 // accepting requests.
 func (c *connection) accept() bool {
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -151,6 +151,35 @@
 	<-cancelled
 }
 
+// TestClientLeavesPipeline guards against handlers that go on after their client has left, because so many requests are pending on the connection,
+// or one that has to wait for an earlier one, that its end is not read.
+func TestClientLeavesPipeline(t *testing.T) {
+	const get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	for name, sent := range map[string]string{
+		"one more than fits":      strings.Repeat(get, 17),
+		"some more than fit":      strings.Repeat(get, 24),
+		"one waits for the first": get + "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nwhole",
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			var group errgroup.Group
+			began, ended := make(chan struct{}, 100), make(chan struct{}, 100)
+			_, conn := startServer(c, func(ctx context.Context, _ *http.Request) *ingress.Response {
+				began <- struct{}{}
+				<-ctx.Done()
+				ended <- struct{}{}
+				return nil
+			})
+			_, err := io.WriteString(conn, sent)
+			c.Assert(err, qt.IsNil)
+			<-began
+			group.Go(func() error { time.Sleep(20 * time.Millisecond); return conn.Close() })
+			<-ended
+			c.Check(group.Wait(), qt.IsNil)
+		})
+	}
+}
+
 // TestDrain guards against a draining connection that closes before all pipelined requests have their responses.
 func TestDrain(t *testing.T) {
 	c := qt.New(t)
