ingress: a connection is idle only after its last response

On the way: the idle timeout began when the request had been read, so that a connection closed as much earlier after the response as the request had taken. A client that reuses connections for four fifths of the timeout, as the platform's do, met the close.

Change: a connection is idle from its last response on; until then, reading goes on and sees its end.

Measured: TestClientLeavesLongRequest hung before, TestIdleTimeout got "unexpected EOF" on its second request; both pass, also with the race detector.

--- a/ingress/connection.go
+++ b/ingress/connection.go
@@ -26,6 +26,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	active atomic.Int32 // requests without a complete response
+	opened time.Time
+	// lastResponse is when the last response was complete, as a time.Duration since opened.
+	lastResponse atomic.Int64
 
 	writeMu     sync.Mutex
 	isLingering atomic.Bool // whether the last response has been written
@@ -46,7 +49,7 @@
 }
 
 func newConnection(s *Server, conn net.Conn) *connection {
-	c := &connection{server: s, conn: conn, input: &limitedReader{conn: conn}}
+	c := &connection{server: s, conn: conn, input: &limitedReader{conn: conn}, opened: time.Now()}
 	c.reader = bufio.NewReaderSize(c.input, bufferBytes)
 	c.writer = bufio.NewWriterSize(conn, bufferBytes)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -226,13 +229,16 @@
 // errHeaderTooLarge is returned by reads of a header beyond the limit.
 var errHeaderTooLarge = errors.New("the header is larger than the limit")
 
-// readRequest reads the next request, waiting up to the idle timeout for it.
+// readRequest reads the next request, waiting for it up to the idle timeout after the last response.
 func (c *connection) readRequest() (*exchange, error) {
 	limits := c.server.settings.Limits()
 	c.input.remaining = -1
-	if c.reader.Buffered() == 0 {
-		_ = c.conn.SetReadDeadline(deadlineAfter(limits.IdleTimeout))
+	for wait := limits.IdleTimeout; c.reader.Buffered() == 0; {
+		_ = c.conn.SetReadDeadline(deadlineAfter(wait))
 		if _, err := c.reader.Peek(1); err != nil {
+			if wait = c.untilIdle(limits.IdleTimeout); wait > 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.isLingering.Load() {
+				continue
+			}
 			return nil, err
 		}
 	}
@@ -258,6 +264,15 @@
 	return e, nil
 }
 
+// untilIdle returns the minimum time until the connection has been idle for the given time. It is not idle while a request has no response, and its
+// client may leave meanwhile.
+func (c *connection) untilIdle(idle time.Duration) time.Duration {
+	if c.active.Load() > 0 {
+		return idle
+	}
+	return idle - (time.Since(c.opened) - time.Duration(c.lastResponse.Load()))
+}
+
 // classifyReadError returns a readError with a status if the client can still be told, and err itself if the connection is
 // lost.
 func (c *connection) classifyReadError(err error) error {
@@ -331,6 +346,7 @@
 			e.body.release()
 		}
 		close(e.written)
+		c.lastResponse.Store(int64(time.Since(c.opened)))
 		c.active.Add(-1)
 	}
 }
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -33,6 +33,11 @@
 			return ingress.Limits{HeaderBytes: 2048, BodyBytes: 1 << 20, HeaderTimeout: 10 * time.Second, IdleTimeout: 10 * time.Second}
 		},
 	})
+	return s, serveOne(c, s)
+}
+
+// serveOne has a server serve until the end of the test, and returns a connection to it.
+func serveOne(c *qt.C, s *ingress.Server) net.Conn {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	var group errgroup.Group
@@ -44,7 +49,7 @@
 		s.Close()
 		c.Check(group.Wait(), qt.IsNil)
 	})
-	return s, conn
+	return conn
 }
 
 // textResponse returns a 200 response.
@@ -180,6 +185,64 @@
 	}
 }
 
+// TestClientLeavesLongRequest guards against a handler that goes on after its client has left, because the request has outlasted the idle timeout, and
+// against a connection that stays open for good after such a request.
+func TestClientLeavesLongRequest(t *testing.T) {
+	for name, isLeaving := range map[string]bool{"client leaves": true, "client stays": false} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			const idleTimeout = 50 * time.Millisecond
+			ended := make(chan struct{})
+			s := ingress.New(ingress.Settings{
+				Handler: handlerFunc(func(ctx context.Context, _ *http.Request) *ingress.Response {
+					if isLeaving {
+						<-ctx.Done()
+						close(ended)
+						return nil
+					}
+					time.Sleep(4 * idleTimeout)
+					return textResponse("late")
+				}),
+				Log: zerolog.Nop(), Limits: func() ingress.Limits { return ingress.Limits{IdleTimeout: idleTimeout} },
+			})
+			conn := serveOne(c, s)
+			fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			if isLeaving {
+				time.Sleep(4 * idleTimeout)
+				c.Assert(conn.Close(), qt.IsNil)
+				<-ended
+				return
+			}
+			r := bufio.NewReader(conn)
+			c.Check(readBody(c, r), qt.Equals, "late")
+			_, err := r.ReadByte()
+			c.Check(err, qt.Equals, io.EOF)
+		})
+	}
+}
+
+// TestIdleTimeout guards against a connection that closes earlier after a response than the idle timeout tells, because the request took part of it.
+func TestIdleTimeout(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	const idleTimeout = 2 * time.Second
+	s := ingress.New(ingress.Settings{
+		Handler: handlerFunc(func(context.Context, *http.Request) *ingress.Response {
+			time.Sleep(idleTimeout * 3 / 4)
+			return textResponse("ok")
+		}),
+		Log: zerolog.Nop(), Limits: func() ingress.Limits { return ingress.Limits{IdleTimeout: idleTimeout} },
+	})
+	conn := serveOne(c, s)
+	r := bufio.NewReader(conn)
+	for range 2 {
+		_, err := fmt.Fprint(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+		c.Assert(err, qt.IsNil)
+		c.Assert(readBody(c, r), qt.Equals, "ok")
+		time.Sleep(idleTimeout * 3 / 8)
+	}
+}
+
 // TestDrain guards against a draining connection that closes before all pipelined requests have their responses.
 func TestDrain(t *testing.T) {
 	c := qt.New(t)
