mesh: a report of another service reloads the settings only if they name another service

Read in the diff: each odd report logged a reload although nothing had changed, and an attempt with hardly any time left was broken off while its body was read, in place of a refusal as too late. Both are as they were before now.

--- a/mesh/attempt.go
+++ b/mesh/attempt.go
@@ -300,7 +300,7 @@
 		length = fingerprintBodyBytes
 	}
 	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(time.Now().Add(timeout)) // every connection between nodes supports it
+	_ = controller.SetReadDeadline(time.Now().Add(max(timeout, bodyDrainTimeout))) // every connection between nodes supports it
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
 	beginning, err := io.ReadAll(io.LimitReader(r.Body, length))
 	if err != nil {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -282,5 +282,7 @@
 		n.log.Error().Str("event", "reload_failed").Err(err).Msg("cannot read the settings for a report of another service; keeping the previous settings")
 		return
 	}
-	n.applySettings(s)
+	if s.Service != *n.service.Load() {
+		n.applySettings(s)
+	}
 }
