--- a/node/endless_test.go
+++ b/node/endless_test.go
@@ -132,25 +132,15 @@
 	}
 }
 
-// startOdd starts a server that sends the same response to each request, and returns its address.
-func startOdd(t *testing.T, response string) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	var group errgroup.Group
-	t.Cleanup(func() {
-		_ = l.Close()
-		_ = group.Wait() // the connections have ended
-	})
-	standin.ServeRaw(l, &group, func(c *net.TCPConn, r standin.RawRequest) { r.Respond(c, response) })
-	return l.Addr().String()
-}
-
 // TestOddBackend guards against a response of the backend server that is not in the protocol and reaches the caller, or counts as not run, and
 // against a health check that counts as passed with one.
 func TestOddBackend(t *testing.T) {
 	for name, odd := range standin.OddResponses("", "", "whole") {
 		t.Run(name, func(t *testing.T) {
-			u, err := url.Parse("http://" + startOdd(t, odd))
+			server, err := standin.StartRawServer(odd)
+			qt.Assert(t, err, qt.IsNil)
+			t.Cleanup(server.Close)
+			u, err := url.Parse("http://" + server.Address())
 			qt.Assert(t, err, qt.IsNil)
 			r := newBackend(u, 1).dispatch(t.Context(), &execution{operation: "transfer"}, nil, func(_, status int, _ string, data []byte) error {
 				t.Errorf("the caller got %q with status %d", data, status)
--- a/standin/raw.go
+++ b/standin/raw.go
@@ -42,6 +42,32 @@
 	})
 }
 
+// RawServer is a server on a loopback address that sends the same response to each request.
+type RawServer struct {
+	listener net.Listener
+	group    errgroup.Group
+}
+
+// StartRawServer starts a RawServer; the error is that of its listener.
+func StartRawServer(response string) (*RawServer, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &RawServer{listener: l}
+	ServeRaw(l, &s.group, func(c *net.TCPConn, r RawRequest) { r.Respond(c, response) })
+	return s, nil
+}
+
+// Address returns the address of the server, with its port.
+func (s *RawServer) Address() string { return s.listener.Addr().String() }
+
+// Close stops the server and waits until its connections have ended.
+func (s *RawServer) Close() {
+	_ = s.listener.Close()
+	_ = s.group.Wait() // the connections return no error
+}
+
 // Respond reads the body of the request and sends a response.
 func (r RawRequest) Respond(c *net.TCPConn, response string) {
 	_ = c.SetDeadline(time.Now().Add(endlessTimeout))
