--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -319,6 +319,46 @@
 	d.eventually("the work ends", func() bool { return a.application.Cancelled() > 0 })
 }
 
+// checkQueueIsLeft has a client with a body of the given length leave while its request waits at the gate of another node, and checks that the request
+// does not run.
+func checkQueueIsLeft(t *testing.T, length int, isChunked bool) {
+	d := newDeployment(t, ledgerConfiguration(1, birdsRoute(), ringsRoute()))
+	d.logOnFailure(t)
+	server, client := d.start("transfers", "a", 2*time.Second), d.start("registry", "a", 0)
+	d.waitUntilServing("/birds/1")
+	server.report.Slots = 1
+	d.reportAgain(server)
+	dial := func(id string) net.Conn {
+		conn, err := net.Dial("tcp4", netip.AddrPortFrom(client.address, d.ports["outbound"]).String())
+		d.c.Assert(err, qt.IsNil)
+		head := "POST /rings/7 HTTP/1.1\r\nHost: ledger.example\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 30000\r\n"
+		body := strings.Repeat("x", length)
+		if isChunked {
+			_, err = fmt.Fprintf(conn, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+		} else {
+			_, err = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+		}
+		d.c.Assert(err, qt.IsNil)
+		return conn
+	}
+	first := dial("first")
+	defer first.Close()
+	d.eventually("the first one runs", func() bool { return len(server.application.Runs()) == 1 })
+	second := dial("second")
+	d.eventually("the second one waits", func() bool {
+		_, rest, _ := strings.Cut(d.metrics(server), "\nsapphiretack_gate_load_thousandths ")
+		load := 0
+		_, err := fmt.Sscan(rest, &load)
+		return err == nil && load > 1500 // of one slot
+	})
+	d.c.Assert(second.Close(), qt.IsNil)
+	d.eventually("the second one is dropped", func() bool { return strings.Contains(d.metrics(server), "gate_not_run_too_late 1\n") })
+	third := dial("third")
+	defer third.Close()
+	d.eventually("the third one runs", func() bool { return slices.Contains(runIDs(server.application), "third") })
+	d.c.Check(runIDs(server.application), qt.DeepEquals, []string{"first", "third"})
+}
+
 // TestClientLeavesQueue guards against a request that waits at the gate of another node and runs although its client has left meanwhile.
 func TestClientLeavesQueue(t *testing.T) {
 	for name, test := range map[string]struct {
@@ -327,46 +367,13 @@
 	}{
 		"no body": {}, "short body": {length: 4000}, "longest body that is kept": {length: 32 << 10}, "short body in chunks": {4000, true},
 	} {
-		t.Run(name, func(t *testing.T) {
-			d := newDeployment(t, ledgerConfiguration(1, birdsRoute(), ringsRoute()))
-			d.logOnFailure(t)
-			server, client := d.start("transfers", "a", 2*time.Second), d.start("registry", "a", 0)
-			d.waitUntilServing("/birds/1")
-			server.report.Slots = 1
-			d.reportAgain(server)
-			dial := func(id string) net.Conn {
-				conn, err := net.Dial("tcp4", netip.AddrPortFrom(client.address, d.ports["outbound"]).String())
-				d.c.Assert(err, qt.IsNil)
-				head := "POST /rings/7 HTTP/1.1\r\nHost: ledger.example\r\nX-Request-Id: " + id + "\r\nX-Deadline-Ms: 30000\r\n"
-				body := strings.Repeat("x", test.length)
-				if test.isChunked {
-					_, err = fmt.Fprintf(conn, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
-				} else {
-					_, err = fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
-				}
-				d.c.Assert(err, qt.IsNil)
-				return conn
-			}
-			first := dial("first")
-			defer first.Close()
-			d.eventually("the first one runs", func() bool { return len(server.application.Runs()) == 1 })
-			second := dial("second")
-			d.eventually("the second one waits", func() bool {
-				_, rest, _ := strings.Cut(d.metrics(server), "\nsapphiretack_gate_load_thousandths ")
-				load := 0
-				_, err := fmt.Sscan(rest, &load)
-				return err == nil && load > 1500 // of one slot
-			})
-			d.c.Assert(second.Close(), qt.IsNil)
-			d.eventually("the second one is dropped", func() bool { return strings.Contains(d.metrics(server), "gate_not_run_too_late 1\n") })
-			third := dial("third")
-			defer third.Close()
-			d.eventually("the third one runs", func() bool { return slices.Contains(runIDs(server.application), "third") })
-			d.c.Check(runIDs(server.application), qt.DeepEquals, []string{"first", "third"})
-		})
+		t.Run(name, func(t *testing.T) { checkQueueIsLeft(t, test.length, test.isChunked) })
 	}
 }
 
+// TestClientLeavesQueueWithLongBody guards against the same with a body that is longer than what a node keeps.
+func TestClientLeavesQueueWithLongBody(t *testing.T) { checkQueueIsLeft(t, 64<<10, false) }
+
 // TestNoRequestsWhileLeaving guards against requests to a backend server that announced longer ago than the drain time that
 // it is leaving, also when reports arrive out of order.
 func TestNoRequestsWhileLeaving(t *testing.T) {
